--- /dev/null
+++ b/cmd/mangostandin/main.go
@@ -0,0 +1,16 @@
+// Command mangostandin runs small stand-ins for the systems around mangopath, for tests, demos and measurements.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	command := &cli.Command{Name: "mangostandin", Usage: "stand-ins for engines, services and the platform"}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/mangocall/error.go
@@ -0,0 +1,75 @@
+package mangocall
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind classifies an error of this package.
+type Kind int
+
+const (
+	// KindOverload means that the queue is full or the deadline cannot be met.
+	KindOverload Kind = iota + 1
+	// KindDeadline means that the deadline passed.
+	KindDeadline
+	// KindNoUpstream means that no chain or service replica is usable.
+	KindNoUpstream
+	// KindUpstream means that upstreams failed more often than retries allow.
+	KindUpstream
+	// KindLimit means that the customer's rate is used up.
+	KindLimit
+	// KindQuarantine means that the request crashed upstreams.
+	KindQuarantine
+	// KindInvalid means that the request is malformed.
+	KindInvalid
+	// KindMismatch means that the idempotency key was used with another body.
+	KindMismatch
+	// KindInProgress means that another call with the idempotency key is running.
+	KindInProgress
+	// KindPlatform means that the platform's store could not be written.
+	KindPlatform
+	// KindCancelled means that the caller went away.
+	KindCancelled
+	// KindUnauthorised means that the caller's key is missing, unknown or not allowed to use the profile.
+	KindUnauthorised
+	// KindUnknownProfile means that no profile or alias has the name.
+	KindUnknownProfile
+	// KindTooLarge means that a bound on input was exceeded.
+	KindTooLarge
+	// KindStopping means that this entry host is shutting down.
+	KindStopping
+)
+
+// String returns the name of the kind as it appears in error bodies and logs.
+func (k Kind) String() string {
+	names := [...]string{
+		"", "Overload", "Deadline", "NoUpstream", "Upstream", "Limit", "Quarantine", "Invalid", "Mismatch",
+		"InProgress", "Platform", "Cancelled", "Unauthorised", "UnknownProfile", "TooLarge", "Stopping",
+	}
+	if k < 1 || int(k) >= len(names) {
+		return fmt.Sprintf("Kind(%d)", int(k))
+	}
+	return names[k]
+}
+
+// Error is the error type of this package and of all answers that are not results.
+type Error struct {
+	Op      string
+	Kind    Kind
+	Outcome Outcome
+	// RetryAfter is 0 when a retry makes no sense now.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("mangocall: %s: %s (%s)", e.Op, e.Kind, e.Outcome)
+	}
+	return fmt.Sprintf("mangocall: %s: %s (%s): %v", e.Op, e.Kind, e.Outcome, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/mangostore/error.go
@@ -0,0 +1,59 @@
+package mangostore
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind int
+
+const (
+	// KindUnavailable means that the call surely had no effect.
+	KindUnavailable Kind = iota + 1
+	// KindUnknown means that a write may have taken effect.
+	KindUnknown
+	// KindConflict means that the key was at another version.
+	KindConflict
+	// KindLimited means that the rate of the service or the budget of this daemon was used up; the call had no effect.
+	KindLimited
+	// KindLeaseLost means that the lease had ended.
+	KindLeaseLost
+	// KindInvalid means that the service refused the request as malformed or too large.
+	KindInvalid
+)
+
+// String returns the name of the kind as it appears in logs.
+func (k Kind) String() string {
+	switch k {
+	case KindUnavailable:
+		return "Unavailable"
+	case KindUnknown:
+		return "Unknown"
+	case KindConflict:
+		return "Conflict"
+	case KindLimited:
+		return "Limited"
+	case KindLeaseLost:
+		return "LeaseLost"
+	case KindInvalid:
+		return "Invalid"
+	default:
+		return fmt.Sprintf("Kind(%d)", int(k))
+	}
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("mangostore: %s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("mangostore: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
