--- /dev/null
+++ b/internal/mangohost/doc.go
@@ -0,0 +1,14 @@
+// Package mangohost keeps what an entry host knows about all hosts: the platform's list, the operators' drain marks,
+// the upstreams' own reports and the outcome of calls.
+//
+// # Usage
+//
+// A directory is immutable; each observation gives a new one:
+//
+//	directory = directory.WithList(list, now).WithMarks(book.Draining)
+//	host, ok := directory.Host("gpu-17")
+//	usable := host.State(now) == mangohost.StateLive
+//
+// The most restrictive source decides the state of a host. A Meter counts the calls in flight on each host and is
+// shared by all traffic goroutines.
+package mangohost
--- /dev/null
+++ b/internal/mangohost/meter.go
@@ -0,0 +1,75 @@
+package mangohost
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// stepWeight is the weight of a new step time in the moving average, as a divisor.
+const stepWeight = 8
+
+// Meter counts calls in flight and averages step times by host; it is safe for concurrent use.
+type Meter struct {
+	hosts sync.Map
+}
+
+type counter struct {
+	inFlight atomic.Int64
+	step     atomic.Int64
+	steps    atomic.Uint64
+}
+
+// NewMeter returns an empty meter.
+func NewMeter() *Meter { return &Meter{} }
+
+func (m *Meter) counter(host string) *counter {
+	if c, ok := m.hosts.Load(host); ok {
+		return c.(*counter)
+	}
+	c, _ := m.hosts.LoadOrStore(host, &counter{})
+	return c.(*counter)
+}
+
+// Add changes the number of calls in flight on a host.
+func (m *Meter) Add(host string, n int) { m.counter(host).inFlight.Add(int64(n)) }
+
+// InFlight returns the number of calls in flight on a host.
+func (m *Meter) InFlight(host string) int { return int(m.counter(host).inFlight.Load()) }
+
+// Step takes the time of a decode step into the average; lost updates under contention are harmless.
+func (m *Meter) Step(host string, took time.Duration) {
+	c := m.counter(host)
+	c.steps.Add(1)
+	old := c.step.Load()
+	if old == 0 {
+		c.step.Store(int64(took))
+		return
+	}
+	c.step.Store(old + (int64(took)-old)/stepWeight)
+}
+
+// StepTime returns the average step time, 0 before the first step.
+func (m *Meter) StepTime(host string) time.Duration {
+	return time.Duration(m.counter(host).step.Load())
+}
+
+// Shares calls f for each host with calls in flight.
+func (m *Meter) Shares(f func(host string, inFlight int)) {
+	m.hosts.Range(func(k, v any) bool {
+		if n := v.(*counter).inFlight.Load(); n > 0 {
+			f(k.(string), int(n))
+		}
+		return true
+	})
+}
+
+// Forget drops the counters of hosts that are no longer known and carry no call.
+func (m *Meter) Forget(known func(host string) bool) {
+	m.hosts.Range(func(k, v any) bool {
+		if !known(k.(string)) && v.(*counter).inFlight.Load() == 0 {
+			m.hosts.Delete(k)
+		}
+		return true
+	})
+}
