--- /dev/null
+++ b/internal/mangocontrol/choose.go
@@ -0,0 +1,89 @@
+package mangocontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/internal/mangochain"
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Choose chooses a chain on the present snapshot, logs the decision and counts it as in flight until released.
+func (c *Controller) Choose(_ context.Context, request mangochain.Request, _ bool) (mangocall.Assignment, error) {
+	s := c.Snapshot()
+	request.InFlight = c.meter.InFlight
+	request.Seed = rand.Uint64()
+	view := s.View(request.Profile)
+	chain, err := mangochain.Choose(view, request)
+	if err != nil {
+		c.logger.WithFields(logrus.Fields{
+			"event": "route", "call": request.Call, "customer": request.Customer, "profile": request.Profile.Name,
+			"revision": s.Book.Revision(), "replicas": len(view.Replicas),
+		}).WithError(err).Warn("no chain")
+		return mangocall.Assignment{}, &Error{Op: "choose", Kind: KindNoReplica, Err: err}
+	}
+	c.logChoice(s, request, chain)
+	for _, stage := range chain.Stages {
+		c.meter.Add(stage.Replica.Host, 1)
+	}
+	var once sync.Once
+	return mangocall.Assignment{Chain: chain, Release: func() {
+		once.Do(func() {
+			for _, stage := range chain.Stages {
+				c.meter.Add(stage.Replica.Host, -1)
+			}
+		})
+	}}, nil
+}
+
+func (c *Controller) logChoice(s *Snapshot, request mangochain.Request, chain mangochain.Chain) {
+	if !c.logger.IsLevelEnabled(logrus.InfoLevel) {
+		return
+	}
+	hosts := make([]string, len(chain.Stages))
+	costs := make([]string, len(chain.Stages))
+	for i, stage := range chain.Stages {
+		hosts[i] = stage.Replica.Host
+		costs[i] = stage.Cost.Round(time.Microsecond).String()
+	}
+	c.logger.WithFields(logrus.Fields{
+		"event": "route", "call": request.Call, "customer": request.Customer, "profile": request.Profile.Name,
+		"version": request.Profile.Version, "revision": s.Book.Revision(), "chain": strings.Join(hosts, ","),
+		"costs": strings.Join(costs, ","), "cost": chain.Cost.Round(time.Microsecond).String(), "reason": chain.Reason, "seed": request.Seed,
+	}).Info("chain chosen")
+}
+
+// ServiceHosts returns the usable hosts of a plain service, those of this data centre first; ejected ones only when
+// there is no other.
+func (c *Controller) ServiceHosts(profile *mangomessage.Profile) []mangohost.Host {
+	s := c.Snapshot()
+	var local, remote, ejected []mangohost.Host
+	for _, place := range profile.Places {
+		for _, name := range place.Hosts {
+			h, ok := s.Directory.Host(name)
+			if !ok {
+				continue
+			}
+			switch state := h.State(s.At); {
+			case state == mangohost.StateEjected:
+				ejected = append(ejected, h)
+			case state != mangohost.StateLive:
+			case h.DataCentre == c.identity.DataCentre:
+				local = append(local, h)
+			default:
+				remote = append(remote, h)
+			}
+		}
+	}
+	if usable := append(local, remote...); len(usable) > 0 {
+		return usable
+	}
+	return ejected
+}
--- /dev/null
+++ b/internal/mangocontrol/controller.go
@@ -0,0 +1,260 @@
+package mangocontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangochain"
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	// publishInterval bounds the age of load figures in a snapshot; changes of state are published at once.
+	publishInterval = 100 * time.Millisecond
+	// commandQueue bounds the changes that wait for the control goroutine.
+	commandQueue = 1024
+)
+
+// Identity says which entry host this is.
+type Identity struct {
+	Name       string
+	DataCentre string
+	// PeerAddress is where other entry hosts reach it.
+	PeerAddress string
+	// Incarnation tells restarts apart; a later start has a higher one.
+	Incarnation uint64
+}
+
+// ChangeLog reads the operators' change log.
+type ChangeLog interface {
+	Poll(ctx context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error)
+	Repair(ctx context.Context, known *mangoprofile.Book) error
+}
+
+// HostLister reads the platform's host list.
+type HostLister interface {
+	Hosts(ctx context.Context) (*mangomessage.HostList, error)
+}
+
+// PeerClient calls other entry hosts.
+type PeerClient interface {
+	Exchange(ctx context.Context, address string, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error)
+	Fetch(ctx context.Context, address string, request *mangomessage.FetchRequest) (*mangomessage.FetchReply, error)
+}
+
+// EngineProber reads the state of engines.
+type EngineProber interface {
+	State(ctx context.Context, address string) (*mangomessage.EngineState, error)
+}
+
+// Suspects shares which requests are suspected of crashing upstreams.
+type Suspects interface {
+	Suspicions(now time.Time) []*mangomessage.Suspicion
+	Merge(suspicions []*mangomessage.Suspicion, now time.Time)
+}
+
+// Limits shares the rates at which customers are admitted.
+type Limits interface {
+	Usages(now time.Time) []*mangomessage.Usage
+	MergeUsages(daemon string, usages []*mangomessage.Usage, now time.Time)
+	SetDaemons(n int)
+}
+
+// Times are the intervals and bounds that settings give.
+type Times struct {
+	Poll            time.Duration
+	List            time.Duration
+	Exchange        time.Duration
+	ExchangeTimeout time.Duration
+	Probe           time.Duration
+	Freshness       time.Duration
+}
+
+// Option changes a controller during construction.
+type Option func(*Controller)
+
+// WithLogger sets the logger of events and decisions.
+func WithLogger(logger *logrus.Logger) Option { return func(c *Controller) { c.logger = logger } }
+
+// WithTimes sets the intervals.
+func WithTimes(times Times) Option { return func(c *Controller) { c.times = times } }
+
+// WithSeeds sets addresses of entry hosts to contact before the host list is known.
+func WithSeeds(seeds ...string) Option { return func(c *Controller) { c.seeds = seeds } }
+
+// WithLinks sets one-way link delays between data centres.
+func WithLinks(links map[mangochain.Link]time.Duration) Option {
+	return func(c *Controller) { c.links = links }
+}
+
+// WithSuspects shares suspicions with peers.
+func WithSuspects(suspects Suspects) Option { return func(c *Controller) { c.suspects = suspects } }
+
+// WithLimits shares customers' usage with peers.
+func WithLimits(limits Limits) Option { return func(c *Controller) { c.limits = limits } }
+
+// Controller owns the control state of an entry host.
+type Controller struct {
+	identity Identity
+	log      ChangeLog
+	lister   HostLister
+	peers    PeerClient
+	engines  EngineProber
+	suspects Suspects
+	limits   Limits
+	logger   *logrus.Logger
+	times    Times
+	seeds    []string
+	links    map[mangochain.Link]time.Duration
+	meter    *mangohost.Meter
+
+	commands chan func(*state)
+	news     chan struct{}
+	pulls    chan string
+	reprobe  chan string
+	leaving  atomic.Bool
+	dropped  atomic.Uint64
+	snapshot atomic.Pointer[Snapshot]
+	confirms confirmer
+	now      func() time.Time
+}
+
+// New returns a controller that has to be run.
+func New(id Identity, log ChangeLog, lister HostLister, peers PeerClient, engines EngineProber, opts ...Option) *Controller {
+	c := &Controller{
+		identity: id, log: log, lister: lister, peers: peers, engines: engines,
+		logger: logrus.StandardLogger(), meter: mangohost.NewMeter(),
+		commands: make(chan func(*state), commandQueue), news: make(chan struct{}, 1),
+		pulls: make(chan string, 16), reprobe: make(chan string, 64),
+		now: time.Now,
+		times: Times{
+			Poll: time.Second, List: time.Second, Exchange: time.Second, ExchangeTimeout: time.Second,
+			Probe: time.Second, Freshness: 3 * time.Second,
+		},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.publish(newState(c.now()))
+	return c
+}
+
+// Snapshot returns the present control state.
+func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
+
+// Meter returns the counters of calls in flight.
+func (c *Controller) Meter() *mangohost.Meter { return c.meter }
+
+// Dropped returns the number of observations that the control goroutine could not take.
+func (c *Controller) Dropped() uint64 { return c.dropped.Load() }
+
+// Leave tells peers from now on that this entry host is shutting down.
+func (c *Controller) Leave() {
+	c.leaving.Store(true)
+	c.wake()
+}
+
+// Run owns the control state until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	workers := []func(context.Context){c.pollLog, c.pollList, c.exchange, c.probe}
+	ended := make(chan struct{}, len(workers))
+	for _, w := range workers {
+		go func() {
+			w(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	c.loop(ctx)
+	cancel()
+	for range workers {
+		<-ended
+	}
+	return nil
+}
+
+// loop is the control goroutine: it alone touches the state.
+func (c *Controller) loop(ctx context.Context) {
+	s := newState(c.now())
+	tick := time.NewTicker(publishInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.commands:
+			f(s)
+		case <-tick.C:
+			s.expire(c.now())
+			s.dirty = true
+		}
+		if s.dirty {
+			c.publish(s)
+		}
+	}
+}
+
+// observe hands a change to the control goroutine without waiting; it is dropped and counted when the queue is full.
+func (c *Controller) observe(f func(*state)) {
+	select {
+	case c.commands <- f:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
+// apply hands a change to the control goroutine and waits until it is published.
+func (c *Controller) apply(ctx context.Context, f func(*state)) error {
+	done := make(chan struct{})
+	command := func(s *state) {
+		f(s)
+		c.publish(s)
+		close(done)
+	}
+	select {
+	case c.commands <- command:
+	case <-ctx.Done():
+		return &Error{Op: "apply", Kind: KindStopped, Err: ctx.Err()}
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "apply", Kind: KindStopped, Err: ctx.Err()}
+	}
+}
+
+// wake starts an exchange with a few peers at once.
+func (c *Controller) wake() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) publish(s *state) {
+	s.dirty = false
+	now := c.now()
+	members := s.liveMembers(now)
+	heard := make(map[string]time.Time, len(members))
+	known := make(map[string]uint64, len(members))
+	local := 1
+	for _, m := range members {
+		heard[m.Name] = s.members[m.Name].heard
+		known[m.Address] = s.members[m.Name].revision
+		if m.DataCentre == c.identity.DataCentre {
+			local++
+		}
+	}
+	c.snapshot.Store(&Snapshot{
+		Book: s.book, Directory: s.directory, Members: members, Daemons: len(members) + 1, Local: local,
+		Peers: s.peerLoads(now), ConfirmedAt: s.confirmedAt, At: now,
+		identity: c.identity, links: c.links, meter: c.meter, list: s.list, heard: heard, known: known,
+	})
+}
--- /dev/null
+++ b/internal/mangocontrol/learn.go
@@ -0,0 +1,127 @@
+package mangocontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// knowledge is the common content of requests and replies.
+type knowledge interface {
+	GetFrom() *mangomessage.Member
+	GetRevision() uint64
+	GetConfirmedAgeMs() uint32
+	GetShares() []*mangomessage.Share
+	GetLoads() []*mangomessage.Load
+	GetUsages() []*mangomessage.Usage
+	GetSuspicions() []*mangomessage.Suspicion
+	GetMembers() []*mangomessage.Member
+	GetChanges() []*mangomessage.Entry
+	GetChangesFrom() uint64
+	GetHosts() *mangomessage.HostList
+}
+
+// learn takes over what a peer knows; start is the time before its answer was asked for.
+func (c *Controller) learn(ctx context.Context, address string, k knowledge, start time.Time) {
+	if k.GetFrom().GetName() == c.identity.Name {
+		return
+	}
+	now := c.now()
+	if c.suspects != nil {
+		c.suspects.Merge(k.GetSuspicions(), now)
+	}
+	if c.limits != nil {
+		c.limits.MergeUsages(k.GetFrom().GetName(), k.GetUsages(), now)
+	}
+	_ = c.apply(ctx, func(s *state) { c.learnState(s, k, now) })
+	c.learnBook(ctx, address, k, start)
+}
+
+func (c *Controller) learnState(s *state, k knowledge, now time.Time) {
+	from := k.GetFrom()
+	s.hear(from, now)
+	for _, m := range k.GetMembers() {
+		if m.Name != c.identity.Name {
+			s.hear(m, now.Add(-time.Duration(m.AgeMs)*time.Millisecond))
+		}
+	}
+	s.learnShares(from.Name, k.GetShares(), now)
+	for _, l := range k.GetLoads() {
+		s.learnLoad(l, now)
+	}
+	if k.GetHosts() != nil {
+		s.adoptList(k.GetHosts(), now)
+	}
+	if m, ok := s.members[from.Name]; ok && k.GetRevision() > m.revision {
+		m.revision = k.GetRevision()
+		s.members[from.Name] = m
+	}
+}
+
+// learnLoad takes over a relayed load report if it is newer than the known one.
+func (s *state) learnLoad(l *mangomessage.Load, now time.Time) {
+	at := now.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+	s.directory = s.directory.With(l.Host, func(h mangohost.Host) mangohost.Host {
+		if h.Engine == nil || !at.After(h.EngineAt) {
+			return h
+		}
+		return h.WithLoad(l.Running, l.Waiting, at)
+	})
+}
+
+// learnBook applies the peer's changes, or fetches its pages when changes do not reach.
+func (c *Controller) learnBook(ctx context.Context, address string, k knowledge, start time.Time) {
+	book := c.Snapshot().Book
+	confirmedAt := start.Add(-time.Duration(k.GetConfirmedAgeMs()) * time.Millisecond)
+	if k.GetRevision() <= book.Revision() {
+		c.confirmed(ctx, k, confirmedAt)
+		return
+	}
+	next, err := c.advance(ctx, address, book, k)
+	if err != nil {
+		c.logger.WithFields(logrus.Fields{"event": "book_not_learned", "peer": address, "revision": k.GetRevision()}).WithError(err).Warn("peer has a newer book that could not be taken over")
+		return
+	}
+	if next == nil {
+		return
+	}
+	_ = c.apply(ctx, func(s *state) { c.adopted(s, next, "peer") })
+	c.confirmed(ctx, k, confirmedAt)
+}
+
+// confirmed takes over a peer's confirmation; an age of the maximal value means that it has none.
+func (c *Controller) confirmed(ctx context.Context, k knowledge, at time.Time) {
+	if k.GetConfirmedAgeMs() == noConfirmation {
+		return
+	}
+	_ = c.apply(ctx, func(s *state) {
+		if s.book.Revision() == k.GetRevision() {
+			s.confirm(k.GetRevision(), at)
+		}
+	})
+}
+
+// advance returns the book at the peer's revision, or nil when the peer sent no changes and cannot be asked.
+func (c *Controller) advance(ctx context.Context, address string, book *mangoprofile.Book, k knowledge) (*mangoprofile.Book, error) {
+	if k.GetChangesFrom() <= book.Revision() && len(k.GetChanges()) > 0 {
+		return book.With(newer(k.GetChanges(), book.Revision())...)
+	}
+	if address == "" {
+		return nil, nil
+	}
+	return c.fetch(ctx, address, k.GetRevision())
+}
+
+func newer(entries []*mangomessage.Entry, revision uint64) []*mangomessage.Entry {
+	for i, e := range entries {
+		if e.Revision > revision {
+			return entries[i:]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/mangocontrol/message.go
@@ -0,0 +1,121 @@
+package mangocontrol
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// noConfirmation is the confirmed age of a daemon that never confirmed its book.
+const noConfirmation = math.MaxUint32
+
+// request builds what this daemon tells a peer; changes are left out until the peer's revision is known from its reply.
+func (c *Controller) request(s *Snapshot, address string) *mangomessage.ExchangeRequest {
+	now := c.now()
+	request := &mangomessage.ExchangeRequest{
+		From: c.self(), Revision: s.Book.Revision(), ConfirmedAgeMs: confirmedAge(s, now),
+		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
+	}
+	if c.suspects != nil {
+		request.Suspicions = c.suspects.Suspicions(now)
+	}
+	if c.limits != nil {
+		request.Usages = c.limits.Usages(now)
+	}
+	if known := s.revisionOf(address); known > 0 && known < s.Book.Revision() {
+		request.Changes, request.ChangesFrom = changesSince(s, known)
+	}
+	return request
+}
+
+// reply answers a peer with what it lacks.
+func (c *Controller) reply(s *Snapshot, request *mangomessage.ExchangeRequest) *mangomessage.ExchangeReply {
+	now := c.now()
+	reply := &mangomessage.ExchangeReply{
+		From: c.self(), Revision: s.Book.Revision(), ConfirmedAgeMs: confirmedAge(s, now),
+		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
+	}
+	if c.suspects != nil {
+		reply.Suspicions = c.suspects.Suspicions(now)
+	}
+	if c.limits != nil {
+		reply.Usages = c.limits.Usages(now)
+	}
+	if request.Revision < s.Book.Revision() {
+		reply.Changes, reply.ChangesFrom = changesSince(s, request.Revision)
+	}
+	if request.ListAsOfMs < s.Directory.ListAsOf() {
+		reply.Hosts = s.list
+	}
+	return reply
+}
+
+func (c *Controller) self() *mangomessage.Member {
+	return &mangomessage.Member{
+		Name: c.identity.Name, DataCentre: c.identity.DataCentre, Address: c.identity.PeerAddress,
+		Leaving: c.leaving.Load(), Incarnation: c.identity.Incarnation,
+	}
+}
+
+func (c *Controller) shares() []*mangomessage.Share {
+	shares := make([]*mangomessage.Share, 0, 16)
+	c.meter.Shares(func(host string, n int) {
+		if len(shares) < sharesSent {
+			shares = append(shares, &mangomessage.Share{Host: host, InFlight: uint32(n)})
+		}
+	})
+	return shares
+}
+
+// loads relays the newest reports of engines.
+func loads(s *Snapshot, now time.Time) []*mangomessage.Load {
+	hosts := s.Directory.Hosts(mangohost.RoleEngine)
+	hosts = slices.DeleteFunc(hosts, func(h mangohost.Host) bool { return h.Engine == nil })
+	slices.SortFunc(hosts, func(a, b mangohost.Host) int { return b.EngineAt.Compare(a.EngineAt) })
+	sent := make([]*mangomessage.Load, 0, loadsSent)
+	for _, h := range hosts[:min(loadsSent, len(hosts))] {
+		sent = append(sent, &mangomessage.Load{
+			Host: h.Name, Running: h.Engine.Running, Waiting: h.Engine.Waiting, AgeMs: milliseconds(now.Sub(h.EngineAt)),
+		})
+	}
+	return sent
+}
+
+// membersOf relays a random part of the known entry hosts.
+func membersOf(s *Snapshot, now time.Time) []*mangomessage.Member {
+	sent := make([]*mangomessage.Member, 0, membersSent)
+	for _, i := range rand.Perm(len(s.Members)) {
+		if len(sent) == membersSent {
+			break
+		}
+		m := s.Members[i]
+		sent = append(sent, &mangomessage.Member{
+			Name: m.Name, DataCentre: m.DataCentre, Address: m.Address, Leaving: m.Leaving,
+			Incarnation: m.Incarnation, AgeMs: milliseconds(now.Sub(s.heard[m.Name])),
+		})
+	}
+	return sent
+}
+
+func changesSince(s *Snapshot, revision uint64) ([]*mangomessage.Entry, uint64) {
+	changes, ok := s.Book.Since(revision)
+	if !ok {
+		return nil, 0
+	}
+	return changes, revision
+}
+
+func confirmedAge(s *Snapshot, now time.Time) uint32 {
+	if s.ConfirmedAt.IsZero() {
+		return noConfirmation
+	}
+	return milliseconds(now.Sub(s.ConfirmedAt))
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), noConfirmation-1))
+}
--- /dev/null
+++ b/internal/mangocontrol/observe.go
@@ -0,0 +1,52 @@
+package mangocontrol
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangoupstream"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// StepDone takes a step's time and the load that its reply states.
+func (c *Controller) StepDone(host string, took time.Duration, count int, result *mangomessage.StepResult) {
+	if count == 1 {
+		c.meter.Step(host, took)
+	}
+	c.meter.Report(host, int(result.Running+result.Waiting), c.now())
+	if result.Leaving {
+		c.Refused(host)
+	}
+}
+
+// Refused takes over that an upstream refuses new work; it is probed at once for the reason.
+func (c *Controller) Refused(host string) {
+	select {
+	case c.reprobe <- host:
+	default:
+	}
+}
+
+// Failed takes a failure into the state of a host; a refusal is not a failure of the host.
+func (c *Controller) Failed(host string, err error) {
+	var upstream *mangoupstream.Error
+	if errors.As(err, &upstream) && (upstream.Kind == mangoupstream.KindRefused || upstream.Kind == mangoupstream.KindNoState) {
+		c.Refused(host)
+		return
+	}
+	now := c.now()
+	c.observe(func(s *state) {
+		s.directory = s.directory.With(host, func(h mangohost.Host) mangohost.Host { return h.WithFailure(now) })
+		s.dirty = true
+	})
+	c.logger.WithFields(logrus.Fields{"event": "upstream_failed", "host": host}).WithError(err).Warn("upstream failed")
+}
+
+// Leaving reports whether running calls have to leave a host.
+func (c *Controller) Leaving(host string) bool {
+	s := c.Snapshot()
+	return s.Directory.Leaving(host, s.At)
+}
--- /dev/null
+++ b/internal/mangocontrol/poll.go
@@ -0,0 +1,72 @@
+package mangocontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// pause waits for about d, give or take a fifth so that daemons do not poll in step, and returns false at the end.
+func pause(ctx context.Context, d time.Duration) bool {
+	jittered := d*4/5 + rand.N(d*2/5+1)
+	timer := time.NewTimer(jittered)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// pollLog polls the change log at an interval that grows with the daemons of the data centre, so that the store sees
+// a constant rate for each data centre.
+func (c *Controller) pollLog(ctx context.Context) {
+	for {
+		c.pollOnce(ctx)
+		if !pause(ctx, c.times.Poll*time.Duration(c.Snapshot().Local)) {
+			return
+		}
+	}
+}
+
+// pollOnce reads the change log and reports whether it could be read.
+func (c *Controller) pollOnce(ctx context.Context) bool {
+	start := c.now()
+	known := c.Snapshot().Book
+	book, err := c.log.Poll(ctx, known)
+	if err != nil {
+		c.logger.WithFields(logrus.Fields{"event": "poll_failed", "revision": known.Revision()}).WithError(err).Warn("change log not read")
+		return false
+	}
+	c.takeBook(ctx, book, start)
+	return true
+}
+
+// repairAfter writes the known book back when the store lost accepted changes.
+func (c *Controller) repair(ctx context.Context) {
+	known := c.Snapshot().Book
+	if err := c.log.Repair(ctx, known); err != nil {
+		c.logger.WithFields(logrus.Fields{"event": "repair_failed", "revision": known.Revision()}).WithError(err).Error("change log not repaired")
+		return
+	}
+	c.logger.WithFields(logrus.Fields{"event": "repaired", "revision": known.Revision()}).Warn("change log was behind and has been repaired")
+}
+
+// pollList reads the host list at an interval that grows with the daemons of the data centre.
+func (c *Controller) pollList(ctx context.Context) {
+	for {
+		list, err := c.lister.Hosts(ctx)
+		switch {
+		case err != nil:
+			c.logger.WithFields(logrus.Fields{"event": "list_failed"}).WithError(err).Warn("host list not read")
+		default:
+			_ = c.apply(ctx, func(s *state) { s.adoptList(list, c.now()) })
+		}
+		if !pause(ctx, c.times.List*time.Duration(c.Snapshot().Local)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/mangocontrol/state.go
@@ -0,0 +1,137 @@
+package mangocontrol
+
+import (
+	"time"
+
+	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	// memberLive is the age up to which a silent entry host counts as live when capacity is shared; the exchange
+	// reaches every member of a data centre well within it.
+	memberLive = 10 * time.Second
+	// shareLife is the age past which a peer's calls in flight are no longer counted.
+	shareLife = 10 * time.Second
+)
+
+// state is owned by the control goroutine.
+type state struct {
+	book        *mangoprofile.Book
+	directory   *mangohost.Directory
+	members     map[string]member
+	shares      map[string]peerShares
+	confirmedAt time.Time
+	list        *mangomessage.HostList
+	dirty       bool
+}
+
+// member is an entry host and the time at which any daemon last heard of it.
+type member struct {
+	message *mangomessage.Member
+	heard   time.Time
+	// revision is the newest one that the member is known to have.
+	revision uint64
+}
+
+type peerShares struct {
+	inFlight map[string]int
+	at       time.Time
+}
+
+func newState(time.Time) *state {
+	return &state{
+		book: mangoprofile.New(), directory: mangohost.NewDirectory(),
+		members: map[string]member{}, shares: map[string]peerShares{},
+	}
+}
+
+// adopt takes over a newer book; an older one is never taken.
+func (s *state) adopt(book *mangoprofile.Book) bool {
+	if book.Revision() <= s.book.Revision() {
+		return false
+	}
+	s.book = book
+	s.directory = s.directory.WithMarks(book.Draining)
+	s.dirty = true
+	return true
+}
+
+// confirm records that the newest revision was the one given at a time, when the book has it.
+func (s *state) confirm(revision uint64, at time.Time) {
+	if s.book.Revision() < revision || !at.After(s.confirmedAt) {
+		return
+	}
+	s.confirmedAt = at
+	s.dirty = true
+}
+
+// adoptList takes over a newer host list.
+func (s *state) adoptList(list *mangomessage.HostList, now time.Time) {
+	next := s.directory.WithList(list, now)
+	if next == s.directory {
+		return
+	}
+	s.directory = next.WithMarks(s.book.Draining)
+	s.list = list
+	s.dirty = true
+}
+
+// hear takes over what is known about an entry host; a higher incarnation or a later time wins.
+func (s *state) hear(m *mangomessage.Member, heard time.Time) {
+	old, ok := s.members[m.Name]
+	switch {
+	case ok && old.message.Incarnation > m.Incarnation:
+		return
+	case ok && old.message.Incarnation == m.Incarnation:
+		m.Leaving = m.Leaving || old.message.Leaving
+		if heard.Before(old.heard) {
+			heard = old.heard
+		}
+	}
+	s.members[m.Name] = member{message: m, heard: heard, revision: old.revision}
+}
+
+// learnShares takes over the calls in flight of a peer.
+func (s *state) learnShares(daemon string, shares []*mangomessage.Share, at time.Time) {
+	p := peerShares{inFlight: make(map[string]int, len(shares)), at: at}
+	for _, sh := range shares {
+		p.inFlight[sh.Host] = int(sh.InFlight)
+	}
+	s.shares[daemon] = p
+}
+
+func (s *state) peerLoads(now time.Time) map[string]int {
+	loads := make(map[string]int)
+	for _, p := range s.shares {
+		if now.Sub(p.at) > shareLife {
+			continue
+		}
+		for host, n := range p.inFlight {
+			loads[host] += n
+		}
+	}
+	return loads
+}
+
+// liveMembers returns the entry hosts that were heard of lately and do not leave.
+func (s *state) liveMembers(now time.Time) []*mangomessage.Member {
+	live := make([]*mangomessage.Member, 0, len(s.members))
+	for _, m := range s.members {
+		if !m.message.Leaving && now.Sub(m.heard) <= memberLive {
+			live = append(live, m.message)
+		}
+	}
+	return live
+}
+
+// expire forgets peers that were silent for long.
+func (s *state) expire(now time.Time) {
+	for name, m := range s.members {
+		if now.Sub(m.heard) > 3*memberLive {
+			delete(s.members, name)
+			delete(s.shares, name)
+		}
+	}
+}
--- a/internal/mangohost/host.go
+++ b/internal/mangohost/host.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -138,6 +140,14 @@
 	return h
 }
 
+// WithLoad returns the host with newer load figures in its report.
+func (h Host) WithLoad(running, waiting uint32, at time.Time) Host {
+	report := proto.CloneOf(h.Engine)
+	report.Running, report.Waiting, report.LagMs = running, waiting, 0
+	h.Engine, h.EngineAt = report, at
+	return h
+}
+
 // WithFailure returns the host after a failed connection or call.
 func (h Host) WithFailure(now time.Time) Host {
 	eject := min(ejectBase<<min(h.Failures, 5), ejectMax)
--- a/internal/mangohost/meter.go
+++ b/internal/mangohost/meter.go
@@ -17,7 +17,8 @@
 type counter struct {
 	inFlight atomic.Int64
 	step     atomic.Int64
-	steps    atomic.Uint64
+	report   atomic.Int64
+	reportAt atomic.Int64
 }
 
 // NewMeter returns an empty meter.
@@ -40,7 +41,6 @@
 // Step takes the time of a decode step into the average; lost updates under contention are harmless.
 func (m *Meter) Step(host string, took time.Duration) {
 	c := m.counter(host)
-	c.steps.Add(1)
 	old := c.step.Load()
 	if old == 0 {
 		c.step.Store(int64(took))
@@ -54,6 +54,22 @@
 	return time.Duration(m.counter(host).step.Load())
 }
 
+// Report takes over the load that a reply of the host states.
+func (m *Meter) Report(host string, calls int, at time.Time) {
+	c := m.counter(host)
+	c.report.Store(int64(calls))
+	c.reportAt.Store(at.UnixNano())
+}
+
+// Reported returns the load of the latest reply and its time, the zero time when there was none.
+func (m *Meter) Reported(host string) (calls int, at time.Time) {
+	c := m.counter(host)
+	if n := c.reportAt.Load(); n > 0 {
+		return int(c.report.Load()), time.Unix(0, n)
+	}
+	return 0, time.Time{}
+}
+
 // Shares calls f for each host with calls in flight.
 func (m *Meter) Shares(f func(host string, inFlight int)) {
 	m.hosts.Range(func(k, v any) bool {
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,159 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// startTimeout bounds the start of a process, with room for a busy machine.
+	startTimeout = 20 * time.Second
+	pollPause    = 20 * time.Millisecond
+)
+
+// programs is the folder of the built binaries.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mangopath-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	args := []string{"build", "-o", dir + "/"}
+	if os.Getenv("MANGOPATH_RACE") != "" {
+		args = append(args, "-race")
+	}
+	args = append(args, "mangopath.org/mangopath/cmd/mangopath", "mangopath.org/mangopath/cmd/mangostandin")
+	command := exec.CommandContext(context.Background(), "go", args...)
+	command.Stderr = os.Stderr
+	if err := command.Run(); err != nil {
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+// process is a program that a test started.
+type process struct {
+	name    string
+	command *exec.Cmd
+	log     *logBuffer
+	ended   chan struct{}
+	stopped bool
+}
+
+// logBuffer keeps the output of a process for failed tests.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// start runs a program; the test's end kills it.
+func start(t testing.TB, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, log: &logBuffer{}, ended: make(chan struct{})}
+	p.command = exec.CommandContext(context.Background(), filepath.Join(programs, program), args...)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, tail(p.log.String(), 6000))
+		}
+	})
+	return p
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// wait returns the exit status, or -1 when the process does not end in time.
+func (p *process) wait(limit time.Duration) int {
+	select {
+	case <-p.ended:
+		return p.command.ProcessState.ExitCode()
+	case <-time.After(limit):
+		return -1
+	}
+}
+
+// address returns a loopback address that was free a moment ago.
+func address(t testing.TB) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// eventually polls a condition and fails the test when it does not hold in time.
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for !condition() {
+		if time.Since(begin) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(pollPause)
+	}
+	return time.Since(begin)
+}
+
+// answers reports whether a GET gives status 200.
+func answers(url string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = reply.Body.Close()
+	return reply.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/test/thin_test.go
@@ -0,0 +1,121 @@
+package test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/internal/mangoengine"
+)
+
+// shelter starts a small deployment: the given number of entry hosts, one pipeline of three stages, two service
+// replicas and the profiles "tekst" (an alias of tekst-v1), "reserve" (non-idempotent) and "lookup" (idempotent).
+func shelter(t *testing.T, entries, replicas int, change ...string) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	for i := range entries {
+		f.entry(entryName(i), "nieuwegein", change...)
+	}
+	f.pipeline("v1", "nieuwegein", replicas)
+	f.service("opvang-1", "nieuwegein")
+	f.service("opvang-2", "nieuwegein")
+	f.publish()
+	f.declareShelter()
+	f.waitServing("tekst")
+	return f
+}
+
+func digestOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func entryName(i int) string { return string(rune('a'+i)) + "-entry" }
+
+func (f *fleet) declareShelter() {
+	f.t.Helper()
+	hosts := []string{"opvang-1", "opvang-2"}
+	declare(f.t, f.entries[0],
+		change("c1", 0, customerEntry("shelter", digestOf(customerKey))),
+		change("c2", 0, profileEntry(modelProfile("tekst-v1", "v1"))),
+		change("c3", 0, aliasEntry("tekst", "tekst-v1")),
+		change("c4", 0, profileEntry(serviceProfile("reserve", "nieuwegein", true, hosts...))),
+		change("c5", 0, profileEntry(serviceProfile("lookup", "nieuwegein", false, hosts...))),
+	)
+}
+
+// faultFree is the answer that a run without faults gives.
+func faultFree(version, prompt string, tokens int) string {
+	return mangoengine.Answer("tekst-model", version, nil, layers, prompt, tokens)
+}
+
+// Guards against a thin path that only works inside one process: every part here is a process of its own.
+func TestWholePathThroughSeparateProcesses(t *testing.T) {
+	f := shelter(t, 2, 1)
+	for _, e := range f.entries {
+		t.Run(e.name, func(t *testing.T) {
+			is := is.New(t)
+			a := complete(context.Background(), e, "tekst", "a shy black cat", 20)
+			is.NoErr(a.err)
+			is.True(a.whole) // the stream must end with its end mark
+			is.Equal(a.text, faultFree("v1", "a shy black cat", 20))
+			b := book(context.Background(), e, "reserve", "key-"+e.name, `{"Cat":"Mies"}`)
+			is.NoErr(b.err)
+			is.Equal(b.status, http.StatusOK)
+			is.Equal(b.outcome, "Answer")
+		})
+	}
+}
+
+// Guards against one caller receiving parts of another's answer when many run at once.
+func TestAnswersDoNotMix(t *testing.T) {
+	is := is.New(t)
+	f := shelter(t, 1, 2)
+	type result struct {
+		prompt string
+		answer answer
+	}
+	const calls = 24
+	results := make(chan result, calls)
+	for i := range calls {
+		go func() {
+			prompt := "animal number " + string(rune('A'+i))
+			results <- result{prompt, complete(context.Background(), f.entries[0], "tekst", prompt, 15)}
+		}()
+	}
+	for range calls {
+		r := <-results
+		is.True(r.answer.whole)
+		is.Equal(r.answer.text, faultFree("v1", r.prompt, 15))
+	}
+}
+
+// Guards against input errors that crash an entry host or that come without outcome and kind.
+func TestBadInputIsRejectedWithItsReason(t *testing.T) {
+	f := shelter(t, 1, 1)
+	e := f.entries[0]
+	for _, c := range []struct {
+		name, path, key, body string
+		status                int
+	}{
+		{"unknown profile", "/v1/completions", customerKey, `{"model":"none","prompt":"x"}`, http.StatusNotFound},
+		{"unknown key", "/v1/completions", "wrong", `{"model":"tekst","prompt":"x"}`, http.StatusUnauthorized},
+		{"malformed body", "/v1/completions", customerKey, `{"model":`, http.StatusBadRequest},
+		{"non-idempotent without key", "/v1/services/reserve/x", customerKey, `{}`, http.StatusBadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			header := http.Header{"Authorization": {"Bearer " + c.key}}
+			status, body, replied, err := send(context.Background(), http.MethodPost, "http://"+e.callers+c.path, header, []byte(c.body))
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			is.Equal(replied.Get("Mangopath-Outcome"), "Rejected")
+			is.True(len(body) > 0)
+		})
+	}
+	is.New(t).Equal(complete(context.Background(), e, "tekst", "still alive", 3).whole, true)
+}
