--- /dev/null
+++ b/internal/mangoledger/ledger_test.go
@@ -0,0 +1,190 @@
+package mangoledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a second dispatch, or a lost key, after any loss in the sequence grant, put, read back.
+func TestBeginFaults(t *testing.T) {
+	ctx := context.Background()
+	tests := []struct {
+		name   string
+		faults []fault
+		kind   Kind
+		again  Kind
+	}{
+		{"no fault", nil, 0, KindStarted},
+		{"grant fails", []fault{down}, KindUnavailable, 0},
+		{"put refused", []fault{fine, down}, KindUnavailable, 0},
+		{"reply lost after the effect", []fault{fine, lostAfter}, 0, KindStarted},
+		{"request lost", []fault{fine, lostBefore}, 0, KindStarted},
+		{"reply and read back lost", []fault{fine, lostAfter, down}, KindPending, 0},
+		{"request and read back lost", []fault{fine, lostBefore, down}, KindPending, 0},
+		{"write takes effect late", []fault{fine, lostLate}, 0, KindStarted},
+		{"write takes effect after it was given up", []fault{fine, lostLate, down}, KindPending, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			store := newFake()
+			l := New(store, "a", "127.0.0.1:1")
+			store.set(tt.faults...)
+			_, err := l.Begin(ctx, "c", "k", "d")
+			is.Equal(ErrorKind(err), tt.kind)
+			store.mu.Lock()
+			store.deliver()
+			store.mu.Unlock()
+			_, err = l.Begin(ctx, "c", "k", "d")
+			is.Equal(ErrorKind(err), tt.again)
+			_, err = New(store, "b", "127.0.0.1:2").Begin(ctx, "c", "k", "d")
+			is.Equal(ErrorKind(err), KindStarted)
+			_, err = New(store, "b", "127.0.0.1:2").Begin(ctx, "c", "k", "other")
+			is.Equal(ErrorKind(err), KindMismatch)
+		})
+	}
+}
+
+// Guards against a dispatch by a process that was paused, a second dispatch, and records that outlive their bucket's lease.
+func TestTicketAndBuckets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		store := newFake()
+		l := New(store, "a", "127.0.0.1:1", WithDispatchBound(time.Second))
+		first, err := l.Begin(ctx, "c", "1", "d")
+		is.NoErr(err)
+		is.True(first.MayDispatch(time.Now()))
+		is.True(!first.MayDispatch(time.Now()))
+		second, err := l.Begin(ctx, "c", "2", "d")
+		is.NoErr(err)
+		is.Equal(store.grants, 1)
+		time.Sleep(time.Second)
+		is.True(!second.MayDispatch(time.Now()))
+		time.Sleep(10 * time.Minute)
+		_, err = l.Begin(ctx, "c", "3", "d")
+		is.NoErr(err)
+		is.Equal(store.grants, 2)
+	})
+}
+
+// Guards against answers that are lost in a store outage, and against large answers filling the store or the memory.
+func TestFinishDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error)
+		store := newFake()
+		l := New(store, "a", "127.0.0.1:1", WithCacheBytes(200<<10))
+		go func() { ended <- l.Run(ctx) }()
+		sizes := []int{10, maxAnswer, maxAnswer + 1, 100 << 10}
+		for i, n := range sizes {
+			ticket, err := l.Begin(ctx, "c", fmt.Sprint(i), "d")
+			is.NoErr(err)
+			store.mu.Lock()
+			store.always = lostAfter
+			store.mu.Unlock()
+			l.Finish(ctx, ticket, 201, "text/plain", make([]byte, n))
+			time.Sleep(time.Minute)
+			_, err = l.Begin(ctx, "c", fmt.Sprint(i), "d")
+			is.Equal(ErrorKind(err), KindDone)
+			is.Equal(len(RecordOf(err).Answer), n)
+			store.mu.Lock()
+			store.always = fine
+			store.mu.Unlock()
+			is.NoErr(l.Flush(ctx))
+		}
+		is.True(l.memory.bytes <= 200<<10)
+		for i, n := range sizes {
+			_, err := New(store, "b", "127.0.0.1:2").Begin(ctx, "c", fmt.Sprint(i), "d")
+			is.Equal(ErrorKind(err), KindDone)
+			r := RecordOf(err)
+			is.Equal(len(r.Answer) == n, n <= maxAnswer)
+			is.Equal(r.AnswerDigest != "", n > maxAnswer)
+		}
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
+}
+
+// Compares three daemons that restart on a faulty store with one locked map of executions: guards against a call
+// that runs twice, an answer that is not the call's own, and a NotRun for a call that ran.
+func TestAgainstLockedMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := newFake()
+		ledgers := make([]*Ledger, 3)
+		ran := map[string]string{}
+		for i := range 40 {
+			n := rapid.IntRange(0, 2).Draw(t, "daemon")
+			if ledgers[n] == nil {
+				ledgers[n] = New(store, fmt.Sprint(n), "")
+			}
+			l, key := ledgers[n], fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+			store.set(rapid.SliceOfN(rapid.SampledFrom([]fault{fine, fine, down, lostAfter, lostBefore, lostLate}), 0, 5).Draw(t, "faults")...)
+			ticket, err := l.Begin(ctx, "c", key, "d")
+			if err == nil && ran[key] != "" {
+				t.Fatalf("step %d: second dispatch of %s", i, key)
+			}
+			if ErrorKind(err) == KindDone && string(RecordOf(err).Answer) != ran[key] {
+				t.Fatalf("step %d: wrong answer for %s", i, key)
+			}
+			if ErrorKind(err) == KindStarted {
+				r := RecordOf(err)
+				for m, o := range ledgers {
+					if o == nil || fmt.Sprint(m) != r.Owner {
+						continue
+					}
+					reply := o.Lookup("c", key, r.Attempt)
+					if reply.State == StateNotRun {
+						l.Confirm(r.Attempt)
+					}
+					if reply.State == StateDone && string(reply.Answer) != ran[key] {
+						t.Fatalf("step %d: owner has a wrong answer for %s", i, key)
+					}
+				}
+			}
+			if ticket != nil {
+				step(t, l, ticket, ran)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				ledgers[n] = nil
+			}
+			store.deliver()
+			drain(ctx, l)
+		}
+	})
+}
+
+// step ends a ticket in one of the ways a dispatcher does.
+func step(t *rapid.T, l *Ledger, ticket *Ticket, ran map[string]string) {
+	switch rapid.IntRange(0, 3).Draw(t, "end") {
+	case 0:
+		l.Abandon(ticket)
+	case 1:
+		ran[ticket.Key] = "lost"
+		l.MarkUnknown(ticket)
+	case 2:
+		ran[ticket.Key] = ticket.Attempt
+		l.Finish(context.Background(), ticket, 200, "", []byte(ticket.Attempt))
+	}
+}
+
+// drain gives each queued background write one try.
+func drain(ctx context.Context, l *Ledger) {
+	for range len(l.jobs) {
+		j := <-l.jobs
+		if !l.attempt(ctx, j) {
+			l.jobs <- j
+		}
+	}
+}
