--- a/internal/mangoledger/writer.go
+++ b/internal/mangoledger/writer.go
@@ -108,16 +108,12 @@
 	if err == nil {
 		return true
 	}
-	switch storeKind(err) {
-	case mangostore.KindLeaseLost, mangostore.KindInvalid:
-		// The record has expired, or the service will never take it.
-		return true
-	case mangostore.KindConflict:
+	kind := storeKind(err)
+	if kind == mangostore.KindConflict {
 		j.version = 0
-		return false
-	default:
-		return false
 	}
+	// With these the record has expired, or the service will never take it.
+	return kind == mangostore.KindLeaseLost || kind == mangostore.KindInvalid
 }
 
 // locate finds the version of a Started record of the attempt; false means that there is none to change.
