Read and check settings against the schema

The daemon needs its settings checked before it starts, with all faults in one run.

Add mangosetting: INI filled by reflection on the Settings descriptor, rules across settings, link delays and the effective file with secrets redacted.

--- /dev/null
+++ b/internal/mangosetting/effective.go
@@ -0,0 +1,57 @@
+package mangosetting
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Effective returns the settings in force as INI, defaults included and secrets redacted.
+func Effective(settings *mangomessage.Settings) string {
+	var b strings.Builder
+	message := settings.ProtoReflect()
+	sections := message.Descriptor().Fields()
+	for i := range sections.Len() {
+		s := sections.Get(i)
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "[%s]\n", s.Name())
+		writeSection(&b, message.Get(s).Message())
+	}
+	return b.String()
+}
+
+func writeSection(b *strings.Builder, message protoreflect.Message) {
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if text := formatField(f, message.Get(f)); text != "" {
+			fmt.Fprintf(b, "%s = %s\n", f.Name(), shown(f, text))
+		}
+	}
+}
+
+func formatField(f protoreflect.FieldDescriptor, value protoreflect.Value) string {
+	if f.IsList() {
+		items := make([]string, value.List().Len())
+		for i := range items {
+			items[i] = value.List().Get(i).String()
+		}
+		return strings.Join(items, ",")
+	}
+	switch ruleOf(f).GetFormat() {
+	case mangomessage.Format_Duration:
+		return formatDuration(value.Int())
+	case mangomessage.Format_Size:
+		return formatSize(value.Int())
+	case mangomessage.Format_Text, mangomessage.Format_Address, mangomessage.Format_Addresses, mangomessage.Format_Name,
+		mangomessage.Format_File, mangomessage.Format_Number, mangomessage.Format_Flag, mangomessage.Format_Choice:
+		return value.String()
+	default:
+		return value.String()
+	}
+}
--- /dev/null
+++ b/internal/mangosetting/load.go
@@ -0,0 +1,48 @@
+package mangosetting
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// MaxFileSize bounds a settings file, in bytes.
+const MaxFileSize = 1 << 20
+
+// Load reads and checks the settings file at path. The error is an *Error with all faults.
+func Load(path string) (*mangomessage.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "Load", Kind: KindRead, Err: errors.WithStack(err)}
+	}
+	return Parse(path, data)
+}
+
+// Parse checks settings; name stands for the file in faults. The error is an *Error with all faults.
+func Parse(name string, data []byte) (*mangomessage.Settings, error) {
+	c := &checker{file: name}
+	settings := &mangomessage.Settings{}
+	if found, ok := c.scan(data); ok {
+		c.fill(settings.ProtoReflect(), found)
+		c.checkUnique(settings.ProtoReflect())
+		c.checkRules(settings)
+	}
+	if len(c.faults) > 0 {
+		return nil, &Error{Op: "Parse", Kind: KindInvalid, Faults: c.faults}
+	}
+	return settings, nil
+}
+
+// checker collects the faults of one file.
+type checker struct {
+	file   string
+	faults []Fault
+}
+
+func (c *checker) report(section, key, value, problem, allowed string) {
+	c.faults = append(c.faults, Fault{
+		File: c.file, Section: section, Key: key, Value: value, Problem: problem, Allowed: allowed,
+	})
+}
--- /dev/null
+++ b/internal/mangosetting/value.go
@@ -0,0 +1,191 @@
+package mangosetting
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const maxText = 4096
+
+// sizeUnits are in descending order, so that formatSize finds the largest one that divides a size.
+func sizeUnits() []sizeUnit {
+	return []sizeUnit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+}
+
+type sizeUnit struct {
+	name  string
+	bytes int64
+}
+
+// parseValue reads the text of a field, or of one item of a list, and returns what is wrong with it.
+func parseValue(f protoreflect.FieldDescriptor, text string) (protoreflect.Value, string) {
+	rule := ruleOf(f)
+	switch rule.GetFormat() {
+	case mangomessage.Format_Duration:
+		return number(rule, text, parseDuration)
+	case mangomessage.Format_Size:
+		return number(rule, text, parseSize)
+	case mangomessage.Format_Number:
+		return number(rule, text, parseNumber)
+	case mangomessage.Format_Flag:
+		return protoreflect.ValueOfBool(text == "true"), problemIf(text != "true" && text != "false", "not a flag")
+	case mangomessage.Format_Address, mangomessage.Format_Addresses:
+		return protoreflect.ValueOfString(text), addressProblem(text)
+	case mangomessage.Format_Name:
+		return protoreflect.ValueOfString(text), problemIf(!isName(text), "not a name")
+	case mangomessage.Format_File:
+		return protoreflect.ValueOfString(text), fileProblem(text)
+	case mangomessage.Format_Choice:
+		return protoreflect.ValueOfString(text), problemIf(!slices.Contains(rule.GetAllowed(), text), "unknown word")
+	case mangomessage.Format_Text:
+		return protoreflect.ValueOfString(text), textProblem(text)
+	default:
+		return protoreflect.Value{}, "the schema has no format for the key"
+	}
+}
+
+func problemIf(wrong bool, problem string) string {
+	if wrong {
+		return problem
+	}
+	return ""
+}
+
+func number(rule *mangomessage.Rule, text string, parse func(string) (int64, string)) (protoreflect.Value, string) {
+	n, problem := parse(text)
+	if problem == "" && (n < rule.GetMin() || n > rule.GetMax()) {
+		problem = "out of range"
+	}
+	return protoreflect.ValueOfInt64(n), problem
+}
+
+func parseDuration(text string) (int64, string) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, "not a duration with a unit"
+	}
+	return d.Milliseconds(), problemIf(d%time.Millisecond != 0, "not a whole number of milliseconds")
+}
+
+func parseSize(text string) (int64, string) {
+	for _, u := range sizeUnits() {
+		digits, found := strings.CutSuffix(text, u.name)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
+		if err != nil {
+			return 0, "not a size with a unit"
+		}
+		if n < 0 || n > (1<<62)/u.bytes {
+			return 0, "out of range"
+		}
+		return n * u.bytes, ""
+	}
+	return 0, "not a size with a unit"
+}
+
+func parseNumber(text string) (int64, string) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	return n, problemIf(err != nil, "not a whole number")
+}
+
+func addressProblem(text string) string {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return "not an IP address and port"
+	}
+	return problemIf(address.Port() == 0, "port 0 is not allowed")
+}
+
+func isName(text string) bool {
+	return regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`).MatchString(text)
+}
+
+// fileProblem opens the file, because its mode alone does not tell whether this process may read it.
+func fileProblem(path string) string {
+	info, err := os.Stat(path)
+	if err != nil || !info.Mode().IsRegular() {
+		return "not a regular file"
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return "the file cannot be read"
+	}
+	_ = file.Close()
+	return ""
+}
+
+func textProblem(text string) string {
+	if len(text) > maxText {
+		return "too long"
+	}
+	return problemIf(strings.ContainsFunc(text, unicode.IsControl), "control character in text")
+}
+
+// allowedBy states in words what a field takes.
+func allowedBy(f protoreflect.FieldDescriptor) string {
+	rule := ruleOf(f)
+	switch rule.GetFormat() {
+	case mangomessage.Format_Duration:
+		return fmt.Sprintf("a duration from %s to %s, such as 250ms, 3s or 1h", formatDuration(rule.GetMin()), formatDuration(rule.GetMax()))
+	case mangomessage.Format_Size:
+		return fmt.Sprintf("a size from %s to %s in B, KiB, MiB or GiB", formatSize(rule.GetMin()), formatSize(rule.GetMax()))
+	case mangomessage.Format_Number:
+		return fmt.Sprintf("a whole number from %d to %d", rule.GetMin(), rule.GetMax())
+	case mangomessage.Format_Flag:
+		return "true or false"
+	case mangomessage.Format_Address:
+		return "an IP address and port, such as 127.0.0.1:7000 or [::1]:7000"
+	case mangomessage.Format_Addresses:
+		return "different IP addresses and ports, comma-separated, such as 127.0.0.1:7000,127.0.0.1:7001"
+	case mangomessage.Format_Name:
+		return "1 to 63 lower-case letters, digits and inner dashes"
+	case mangomessage.Format_File:
+		return "the path of a readable file"
+	case mangomessage.Format_Choice:
+		return strings.Join(rule.GetAllowed(), ", ")
+	case mangomessage.Format_Text:
+		return textAllowed(f)
+	default:
+		return ""
+	}
+}
+
+func textAllowed(f protoreflect.FieldDescriptor) string {
+	if f.IsList() {
+		return "different words, comma-separated"
+	}
+	return fmt.Sprintf("text of 1 to %d bytes without control characters", maxText)
+}
+
+func formatDuration(ms int64) string {
+	text := (time.Duration(ms) * time.Millisecond).String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+func formatSize(bytes int64) string {
+	for _, u := range sizeUnits() {
+		if bytes%u.bytes == 0 && bytes >= u.bytes {
+			return fmt.Sprintf("%d%s", bytes/u.bytes, u.name)
+		}
+	}
+	return fmt.Sprintf("%dB", bytes)
+}
