Serve the callers' API

Callers need completions, streamed or whole, and calls to plain services, with bounded input and an outcome on every answer.

Add mangogateway with go-restful on the interfaces Completer, Caller and Authenticator. Requests are dispatched without http.ServeMux, because its redirects of unclean paths make clients send a request twice. The read deadline is cleared after the body, because it would cancel the context of a call that runs longer. Add golang.org/x/net for netutil.LimitListener.

--- /dev/null
+++ b/internal/mangogateway/failure.go
@@ -0,0 +1,121 @@
+package mangogateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// failureOf returns err as the error of a call; an error without an outcome counts as Unknown.
+func failureOf(err error) *mangocall.Error {
+	var failure *mangocall.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &mangocall.Error{Op: "Serve", Outcome: mangocall.Unknown, Err: err}
+}
+
+// statusOf returns the HTTP status of a failure.
+func statusOf(e *mangocall.Error) int {
+	switch e.Outcome {
+	case mangocall.NotRun:
+		if e.Kind == mangocall.KindLimit {
+			return http.StatusTooManyRequests
+		}
+		return http.StatusServiceUnavailable
+	case mangocall.Rejected:
+		return rejectedStatus(e.Kind)
+	case mangocall.Unknown:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
+
+func rejectedStatus(kind mangocall.Kind) int {
+	statuses := map[mangocall.Kind]int{
+		mangocall.KindInvalid:        http.StatusBadRequest,
+		mangocall.KindUnauthorised:   http.StatusForbidden,
+		mangocall.KindUnknownProfile: http.StatusNotFound,
+		mangocall.KindMismatch:       http.StatusConflict,
+		mangocall.KindInProgress:     http.StatusConflict,
+		mangocall.KindTooLarge:       http.StatusRequestEntityTooLarge,
+		mangocall.KindQuarantine:     http.StatusUnprocessableEntity,
+	}
+	if status, found := statuses[kind]; found {
+		return status
+	}
+	return http.StatusBadRequest
+}
+
+// reasonOf names the kind of a failure; errors of other packages and panics have none.
+func reasonOf(e *mangocall.Error) string {
+	if e.Kind == 0 {
+		return "Internal"
+	}
+	return e.Kind.String()
+}
+
+// fail answers with the error of a call.
+func (x *exchange) fail(err error) {
+	x.failure = failureOf(err)
+	x.writeFailure(statusOf(x.failure))
+}
+
+// refuse answers with a failure of authentication, which has a status of its own.
+func (x *exchange) refuse(err error) {
+	x.failure = failureOf(err)
+	x.writer.Header().Set("WWW-Authenticate", "Bearer")
+	x.writeFailure(http.StatusUnauthorized)
+}
+
+func (x *exchange) writeFailure(status int) {
+	header := x.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerOutcome, string(x.failure.Outcome))
+	if seconds := retryAfterSeconds(x.failure.RetryAfter); seconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	x.writer.WriteHeader(status)
+	_, _ = x.writer.Write(x.failureBody())
+}
+
+func (x *exchange) failureBody() []byte {
+	body, _ := json.Marshal(&mangomessage.CallErrorBody{Error: &mangomessage.CallError{
+		Outcome: string(x.failure.Outcome), Kind: reasonOf(x.failure), Message: message(x.failure), Call: x.id,
+		RetryAfterMs: retryAfterMs(x.failure.RetryAfter),
+	}})
+	return body
+}
+
+// message is what callers read. Causes of faults inside the system go to the log only, as they name hosts.
+func message(e *mangocall.Error) string {
+	if e.Outcome == mangocall.Rejected && e.Err != nil {
+		return e.Err.Error()
+	}
+	switch e.Outcome {
+	case mangocall.NotRun:
+		return "the request did not run: " + reasonOf(e)
+	case mangocall.Rejected:
+		return "the request was rejected: " + reasonOf(e)
+	case mangocall.Unknown:
+		return "the request may have run: " + reasonOf(e)
+	default:
+		return "the request may have run: " + reasonOf(e)
+	}
+}
+
+func retryAfterSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
+
+func retryAfterMs(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
--- /dev/null
+++ b/internal/mangogateway/gateway_test.go
@@ -0,0 +1,309 @@
+package mangogateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+type fakes struct {
+	complete func(context.Context, Completion, mangocall.Sink) (mangocall.Result, error)
+	call     func(context.Context, ServiceCall) (Answer, error)
+}
+
+func (f fakes) Complete(ctx context.Context, c Completion, s mangocall.Sink) (mangocall.Result, error) {
+	return f.complete(ctx, c, s)
+}
+
+func (f fakes) Call(ctx context.Context, c ServiceCall) (Answer, error) { return f.call(ctx, c) }
+
+func (fakes) Customer(key string) (string, error) {
+	if key != "test-key" {
+		return "", rejected("Customer", mangocall.KindUnauthorised, errors.New("unknown key"))
+	}
+	return "dierenasiel", nil
+}
+
+func words(_ context.Context, c Completion, sink mangocall.Sink) (mangocall.Result, error) {
+	for _, w := range strings.SplitAfter(c.Prompt, " ") {
+		if err := sink.Token(w); err != nil {
+			return mangocall.Result{}, err
+		}
+	}
+	return mangocall.Result{FinishReason: "stop", Tokens: 2}, nil
+}
+
+func start(t *testing.T, f fakes) string {
+	t.Helper()
+	settings := &mangomessage.CallerSettings{
+		Address: "127.0.0.1:0", MaxBody: 4096, MaxHeader: 4096, MaxConnections: 8, ReadTimeout: 200,
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	gateway := New(settings, f, f, f, logger, WithMaxPrompt(1024), WithMaxTokens(100))
+	listener, err := Listen(t.Context(), settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := gateway.Server()
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close(); <-done })
+	return "http://" + listener.Addr().String()
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func send(t *testing.T, url, body string, header ...string) reply {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer test-key")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(data), err}
+}
+
+// Guards against answers without their text, end mark, outcome or call id.
+func TestCompletion(t *testing.T) {
+	is := is.New(t)
+	url := start(t, fakes{complete: words}) + "/v1/completions"
+	whole := send(t, url, `{"model":"tekst","prompt":"a b","max_tokens":7,"other":{"x":[1]}}`)
+	is.NoErr(whole.err)
+	is.Equal(whole.status, 200)
+	is.Equal(whole.header.Get(headerOutcome), OutcomeAnswer)
+	is.True(whole.header.Get(headerCall) != "")
+	is.True(strings.Contains(whole.body, `"choices":[{"index":0,"text":"a b","finish_reason":"stop"}],"usage":{"completion_tokens":2}`))
+	streamed := send(t, url, `{"model":"tekst","prompt":"a b","stream":true}`)
+	is.NoErr(streamed.err)
+	is.Equal(strings.Count(streamed.body, "data: "), 4)
+	is.True(strings.Contains(streamed.body, `"finish_reason":"stop"`))
+	is.True(strings.HasSuffix(streamed.body, "data: [DONE]\n\n"))
+}
+
+// Guards against two readings of a body with a field given twice: one name must be used throughout.
+func TestDuplicateModel(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	url := start(t, fakes{complete: func(ctx context.Context, c Completion, s mangocall.Sink) (mangocall.Result, error) {
+		names = append(names, c.Name)
+		return words(ctx, c, s)
+	}})
+	got := send(t, url+"/v1/completions", `{"model":"a","model":"b","prompt":"p"}`)
+	is.Equal(names, []string{"b"})
+	is.True(strings.Contains(got.body, `"model":"b"`))
+}
+
+// Guards against malformed or unbounded input that reaches the completer or gets a wrong status.
+func TestRefusals(t *testing.T) {
+	url := start(t, fakes{})
+	good := `{"model":"m","prompt":"p"}`
+	tests := []struct {
+		name, path, body string
+		header           []string
+		status           int
+		kind             string
+	}{
+		{"no key", "/v1/completions", good, []string{"Authorization", ""}, 401, "Unauthorised"},
+		{"wrong key", "/v1/completions", good, []string{"Authorization", "Bearer x"}, 401, "Unauthorised"},
+		{"wrong scheme", "/v1/completions", good, []string{"Authorization", "Basic test-key"}, 401, "Unauthorised"},
+		{"malformed JSON", "/v1/completions", `{"model":`, nil, 400, "Invalid"},
+		{"trailing data", "/v1/completions", good + "{}", nil, 400, "Invalid"},
+		{"wrong type", "/v1/completions", `{"model":"m","prompt":["p"]}`, nil, 400, "Invalid"},
+		{"not UTF-8", "/v1/completions", "{\"model\":\"m\",\"prompt\":\"\xff\"}", nil, 400, "Invalid"},
+		{"no model", "/v1/completions", `{"prompt":"p"}`, nil, 400, "Invalid"},
+		{"no prompt", "/v1/completions", `{"model":"m"}`, nil, 400, "Invalid"},
+		{"max_tokens 0", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":0}`, nil, 400, "Invalid"},
+		{"max_tokens above bound", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":101}`, nil, 400, "Invalid"},
+		{"long prompt", "/v1/completions", `{"model":"m","prompt":"` + strings.Repeat("p", 2000) + `"}`, nil, 413, "TooLarge"},
+		{"long body", "/v1/completions", strings.Repeat(" ", 5000), nil, 413, "TooLarge"},
+		{"deadline 0", "/v1/completions", good, []string{headerDeadline, "0"}, 400, "Invalid"},
+		{"deadline text", "/v1/completions", good, []string{headerDeadline, "soon"}, 400, "Invalid"},
+		{"unknown route", "/v1/chat", good, nil, 404, "UnknownProfile"},
+		{"empty idempotency key", "/v1/services/s/book", "", []string{headerKey, ""}, 400, "Invalid"},
+		{"long idempotency key", "/v1/services/s/book", "", []string{headerKey, strings.Repeat("k", 256)}, 400, "Invalid"},
+		{"parent segment", "/v1/services/s/a/../../t", "", nil, 400, "Invalid"},
+		{"escaped parent segment", "/v1/services/s/%2e%2e/t", "", nil, 400, "Invalid"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got := send(t, url+tt.path, tt.body, tt.header...)
+			is.NoErr(got.err)
+			is.Equal(got.status, tt.status)
+			var body mangomessage.CallErrorBody
+			is.NoErr(json.Unmarshal([]byte(got.body), &body))
+			is.Equal(body.GetError().GetKind(), tt.kind)
+			is.Equal(body.GetError().GetOutcome(), "Rejected")
+			is.Equal(got.header.Get(headerOutcome), "Rejected")
+			is.Equal(body.GetError().GetCall(), got.header.Get(headerCall))
+		})
+	}
+}
+
+// Guards against an outcome that changes on its way to the caller, and against a panic that ends the process.
+func TestFailures(t *testing.T) {
+	fail := func(kind mangocall.Kind, outcome mangocall.Outcome) error {
+		return &mangocall.Error{Op: "Test", Kind: kind, Outcome: outcome, RetryAfter: 1500 * time.Millisecond, Err: errors.New("host secret-host")}
+	}
+	tests := []struct {
+		name    string
+		err     error
+		status  int
+		outcome string
+	}{
+		{"limit", fail(mangocall.KindLimit, mangocall.NotRun), 429, "NotRun"},
+		{"overload", fail(mangocall.KindOverload, mangocall.NotRun), 503, "NotRun"},
+		{"deadline", fail(mangocall.KindDeadline, mangocall.Unknown), 504, "Unknown"},
+		{"forbidden", fail(mangocall.KindUnauthorised, mangocall.Rejected), 403, "Rejected"},
+		{"unknown profile", fail(mangocall.KindUnknownProfile, mangocall.Rejected), 404, "Rejected"},
+		{"mismatch", fail(mangocall.KindMismatch, mangocall.Rejected), 409, "Rejected"},
+		{"quarantine", fail(mangocall.KindQuarantine, mangocall.Rejected), 422, "Rejected"},
+		{"wrapped", errors.Wrap(fail(mangocall.KindLimit, mangocall.NotRun), "outer"), 429, "NotRun"},
+		{"foreign error", errors.New("host secret-host"), 504, "Unknown"},
+		{"panic", nil, 500, "Unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			url := start(t, fakes{call: func(context.Context, ServiceCall) (Answer, error) {
+				if tt.err == nil {
+					panic("test")
+				}
+				return Answer{}, tt.err
+			}})
+			got := send(t, url+"/v1/services/s", "")
+			is.Equal(got.status, tt.status)
+			is.Equal(got.header.Get(headerOutcome), tt.outcome)
+			if tt.outcome != "Rejected" {
+				is.True(!strings.Contains(got.body, "secret-host")) // inner faults stay in the log
+			}
+			if tt.status == 429 {
+				is.Equal(got.header.Get("Retry-After"), "2")
+				is.True(strings.Contains(got.body, `"RetryAfterMs":1500`))
+			}
+		})
+	}
+}
+
+// Guards against a truncated stream that looks whole to a caller.
+func TestTruncatedStream(t *testing.T) {
+	for _, panics := range []bool{false, true} {
+		is := is.New(t)
+		url := start(t, fakes{complete: func(_ context.Context, _ Completion, s mangocall.Sink) (mangocall.Result, error) {
+			_ = s.Token("half")
+			if panics {
+				panic("test")
+			}
+			return mangocall.Result{}, &mangocall.Error{Op: "Test", Kind: mangocall.KindUpstream, Outcome: mangocall.Unknown}
+		}})
+		got := send(t, url+"/v1/completions", `{"model":"m","prompt":"p","stream":true}`)
+		is.True(got.err != nil) // the connection is aborted
+		is.True(strings.Contains(got.body, "half"))
+		is.True(!strings.Contains(got.body, "[DONE]"))
+		is.Equal(strings.Contains(got.body, "event: error\ndata: {\"Error\":{\"Outcome\":\"Unknown\""), !panics)
+	}
+}
+
+// Guards against tokens that wait in a buffer, and against the read timeout cancelling a call that outlasts it.
+func TestTokenByToken(t *testing.T) {
+	is := is.New(t)
+	next := make(chan struct{})
+	url := start(t, fakes{complete: func(ctx context.Context, _ Completion, s mangocall.Sink) (mangocall.Result, error) {
+		_ = s.Token("one")
+		<-next
+		time.Sleep(300 * time.Millisecond)
+		return mangocall.Result{FinishReason: "stop"}, ctx.Err()
+	}})
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"p","stream":true}`))
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer test-key")
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.Contains(line, "one")) // arrives before the answer is whole
+	close(next)
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+}
+
+// Guards against a slow sender that holds a connection.
+func TestSlowSender(t *testing.T) {
+	is := is.New(t)
+	url := start(t, fakes{})
+	connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", strings.TrimPrefix(url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = connection.Close() }()
+	_, err = io.WriteString(connection, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer test-key\r\nContent-Length: 100\r\n\r\n{")
+	is.NoErr(err)
+	is.NoErr(connection.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	data, err := io.ReadAll(connection)
+	is.NoErr(err) // closed by the gateway, not by the deadline of the test
+	is.True(strings.HasPrefix(string(data), "HTTP/1.1 400"))
+}
+
+// Guards against a path, key or deadline that is lost or changed on the way to a service.
+func TestServiceCall(t *testing.T) {
+	is := is.New(t)
+	var got ServiceCall
+	url := start(t, fakes{call: func(_ context.Context, c ServiceCall) (Answer, error) {
+		got = c
+		return Answer{Status: 201, ContentType: "text/x-test", Body: []byte("booked")}, nil
+	}})
+	r := send(t, url+"/v1/services/opvang/a%2Fb/c?d=1", "body", headerKey, "k1", headerDeadline, "250", "Content-Type", "text/plain")
+	is.Equal(r.status, 201)
+	is.Equal(r.body, "booked")
+	is.Equal(r.header.Get("Content-Type"), "text/x-test")
+	is.Equal(r.header.Get(headerOutcome), OutcomeAnswer)
+	is.Equal(got.Name, "opvang")
+	is.Equal(got.Path, "/a%2Fb/c?d=1")
+	is.Equal(got.Key, "k1")
+	is.Equal(got.Customer, "dierenasiel")
+	is.Equal(got.Within, 250*time.Millisecond)
+	is.Equal(string(got.Body), "body")
+	is.Equal(got.ContentType, "text/plain")
+}
+
+// Guards against a panic or an accepted body outside the bounds.
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p","max_tokens":5,"stream":true}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, err := parseCompletion(data, 64, 100)
+		if err == nil && (body.Model == "" || body.Prompt == "" || len(body.Prompt) > 64) {
+			t.Errorf("accepted %+v", body)
+		}
+		if err != nil && failureOf(err).Outcome != mangocall.Rejected {
+			t.Errorf("outcome of %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/mangogateway/server.go
@@ -0,0 +1,54 @@
+package mangogateway
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// idleTimeout closes connections that carry no request.
+const idleTimeout = 2 * time.Minute
+
+// Server returns a server for the gateway with the bounds of its settings on time and header size.
+func (g *Gateway) Server() *http.Server {
+	readTimeout := time.Duration(g.settings.GetReadTimeout()) * time.Millisecond
+	return &http.Server{
+		Handler: g.Handler(), ReadTimeout: readTimeout, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: int(g.settings.GetMaxHeader()),
+		// The gateway logs its calls itself; lines of net/http tell of broken connections only.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+// Listen opens the callers' listener with TLS if a certificate is set. Connections above the bound wait until
+// another one is closed. The error is an *Error.
+func Listen(ctx context.Context, settings *mangomessage.CallerSettings) (net.Listener, error) {
+	var config *tls.Config
+	if settings.GetCertificateFile() != "" {
+		certificate, err := tls.LoadX509KeyPair(settings.GetCertificateFile(), settings.GetKeyFile())
+		if err != nil {
+			return nil, &Error{Op: "Listen", Kind: KindCertificate, Err: errors.WithStack(err)}
+		}
+		config = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", settings.GetAddress())
+	if err != nil {
+		return nil, &Error{Op: "Listen", Kind: KindListen, Err: errors.WithStack(err)}
+	}
+	if n := settings.GetMaxConnections(); n > 0 {
+		listener = netutil.LimitListener(listener, int(n))
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return listener, nil
+}
