--- a/cmd/mangostandin/main.go
+++ b/cmd/mangostandin/main.go
@@ -3,14 +3,20 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	command := &cli.Command{Name: "mangostandin", Usage: "stand-ins for engines, services and the platform"}
+	command := &cli.Command{
+		Name:     "mangostandin",
+		Usage:    "stand-ins for engines, services and the platform",
+		Commands: []*cli.Command{platformCommand()},
+	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "mangostandin:", err)
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/cmd/mangostandin/serve.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// shutdownTimeout is the time for requests to end after the stop.
+const shutdownTimeout = 2 * time.Second
+
+// signalContext returns a context that ends at the first SIGINT or SIGTERM; the second one ends the process.
+func signalContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, cancel)
+	return ctx, cancel
+}
+
+// serve runs an HTTP server until the context ends.
+func serve(ctx context.Context, role, address string, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on --address %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	logrus.WithFields(logrus.Fields{"role": role, "address": listener.Addr().String()}).Info("listening")
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(stop); err != nil {
+		// Watches and streams of callers that are still connected end here.
+		_ = server.Close()
+	}
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	logrus.WithField("role", role).Info("stopped")
+	return nil
+}
