Add the engine stand-in

Cause: calls through chains of layers need engines whose answers show a skipped, doubled or reordered layer.

--- a/cmd/mangostandin/serve.go
+++ b/cmd/mangostandin/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 )
 
 // shutdownTimeout is the time for requests to end after the stop.
@@ -50,3 +51,33 @@
 	logrus.WithField("role", role).Info("stopped")
 	return nil
 }
+
+// graceful is a server that can end its running calls before it stops.
+type graceful interface {
+	http.Handler
+	Run(ctx context.Context)
+	Stop()
+}
+
+// runGraceful serves until the graceful stop, which a signal or an admin request starts, is complete.
+func runGraceful(ctx context.Context, role, address string, server graceful) error {
+	signalled, cancelSignals := signalContext(ctx)
+	defer cancelSignals()
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(signalled, func() {
+		logrus.WithField("role", role).Info("stopping")
+		server.Stop()
+	})
+	var g errgroup.Group
+	g.Go(func() error {
+		defer cancel()
+		server.Run(running)
+		return nil
+	})
+	g.Go(func() error {
+		defer cancel()
+		return serve(running, role, address, server)
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/mangoengine/answer.go
@@ -0,0 +1,32 @@
+package mangoengine
+
+import "strings"
+
+// Answer is what a fault-free chain answers.
+type Answer struct {
+	Tokens []uint32
+	Text   string
+	// FinishReason is "stop" when the model ended and "length" at the bound on tokens.
+	FinishReason string
+}
+
+// Answer computes the fault-free answer of a model with a number of layers.
+func (m Model) Answer(layers uint32, prompt string, maxTokens int) Answer {
+	var text strings.Builder
+	answer := Answer{FinishReason: "length"}
+	all := newStage(m, 0, layers)
+	inputs := embedPrompt(prompt)
+	for len(answer.Tokens) < maxTokens {
+		outputs := all.run(inputs)
+		token, word, end := m.sample(outputs[len(outputs)-1])
+		answer.Tokens = append(answer.Tokens, token)
+		text.WriteString(word)
+		if end {
+			answer.FinishReason = "stop"
+			break
+		}
+		inputs = embedTokens(answer.Tokens[len(answer.Tokens)-1:])
+	}
+	answer.Text = text.String()
+	return answer
+}
