--- /dev/null
+++ b/internal/mangoprofile/doc.go
@@ -0,0 +1,12 @@
+// Package mangoprofile holds the configuration that operators declare: profiles, aliases, customers and host marks.
+//
+// # Usage
+//
+// A Book is immutable; With returns a copy at a later revision:
+//
+//	book := mangoprofile.New()
+//	book, err := book.With(&mangomessage.Entry{Revision: 1, ChangeId: "c1", Content: content})
+//	profile, err := book.Resolve("adoption")
+//
+// Messages that a book hands out are shared by all of its readers and must not be changed.
+package mangoprofile
