--- /dev/null
+++ b/internal/mangocustomer/lane.go
@@ -0,0 +1,115 @@
+package mangocustomer
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// serviceShare is the share of a new service time in the estimate.
+	serviceShare = 0.1
+	// spareFlows is the number of flows without calls that are kept before they are looked through.
+	spareFlows = 64
+)
+
+// lane is the queue of one profile: start-time fair queueing among flows.
+type lane struct {
+	weight  float64
+	slots   int
+	running int
+	queued  int
+	// virtual is the start tag of the call dispatched last.
+	virtual float64
+	// start is the lane's own tag among lanes, used when the daemon's limit on running calls binds.
+	start   float64
+	flows   map[string]*flow
+	active  flows
+	share   float64
+	service time.Duration
+}
+
+func newLane() *lane { return &lane{weight: 1, flows: map[string]*flow{}} }
+
+// add queues a call in the flow of its customer.
+func (l *lane) add(w *waiter, customer string, weight float64) {
+	f := l.flows[customer]
+	if f == nil {
+		f = &flow{customer: customer}
+		l.flows[customer] = f
+	}
+	if len(f.calls) == 0 {
+		f.start = max(f.start, l.virtual)
+		f.weight = weight
+		l.share += weight
+		heap.Push(&l.active, f)
+	}
+	w.lane, w.flow = l, f
+	heap.Push(&f.calls, w)
+	l.queued++
+}
+
+// next takes the call that is due out of the queue and charges its customer.
+func (l *lane) next() *waiter {
+	f := l.active[0]
+	w := f.calls[0]
+	l.virtual = f.start
+	f.start += w.cost / f.weight
+	heap.Fix(&l.active, 0)
+	l.remove(w)
+	return w
+}
+
+// remove takes a call out of the queue without charge.
+func (l *lane) remove(w *waiter) {
+	f := w.flow
+	heap.Remove(&f.calls, w.index)
+	l.queued--
+	if len(f.calls) > 0 {
+		return
+	}
+	heap.Remove(&l.active, f.index)
+	l.share -= f.weight
+	l.forget()
+}
+
+// forget drops flows whose tags no longer matter: all when nothing is queued, else those that virtual time passed.
+func (l *lane) forget() {
+	if l.queued == 0 {
+		l.virtual, l.share = 0, 0
+		l.flows = map[string]*flow{}
+		return
+	}
+	if len(l.flows) <= 2*len(l.active)+spareFlows {
+		return
+	}
+	for name, f := range l.flows {
+		if len(f.calls) == 0 && f.start <= l.virtual {
+			delete(l.flows, name)
+		}
+	}
+}
+
+// wait estimates the time until a call with this deadline would get a slot.
+func (l *lane) wait(customer string, weight float64, deadline time.Time) time.Duration {
+	if l.slots <= 0 {
+		return 0
+	}
+	own, share := 0, l.share
+	if f := l.flows[customer]; f != nil && len(f.calls) > 0 {
+		own = f.calls.before(deadline)
+	} else {
+		share += weight
+	}
+	turns := min(float64(own+1)*share/weight, float64(l.queued+1))
+	return time.Duration(turns * float64(l.service) / float64(l.slots))
+}
+
+// ended notes the service time of a call.
+func (l *lane) ended(took time.Duration) {
+	l.running--
+	if l.service == 0 {
+		l.service = took
+		return
+	}
+	l.service += time.Duration(serviceShare * float64(took-l.service))
+}
