--- /dev/null
+++ b/internal/mangometric/metrics_test.go
@@ -0,0 +1,63 @@
+package mangometric
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// Guards against a collector that is not registered, has a wrong label set or breaks the naming rules.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	m, err := New(registry)
+	is.NoErr(err)
+	m.CallDone("completion", "Answer", "", time.Second)
+	m.Token("tekst", time.Second, true)
+	m.Token("tekst", time.Millisecond, false)
+	m.RouterTime(time.Microsecond)
+	m.StoreCall("Poll", "OK")
+	end := m.CallStarted("service")
+	m.Queued(3)
+	m.Retry("completion")
+	m.Recovery("Resume")
+	m.Dropped("Late")
+	m.Order("Load", "OK")
+	m.Suspects(1)
+	m.Peers(7)
+	m.Confirmed(12, time.Now().Add(-time.Minute))
+	m.Unconfirmed(true)
+	is.Equal(testutil.ToFloat64(m.inFlight), 1.0)
+	end()
+	is.Equal(testutil.ToFloat64(m.inFlight), 0.0)
+	is.Equal(testutil.ToFloat64(m.unconfirmed), 1.0)
+	is.True(testutil.ToFloat64(m.age) >= 60) // grows without further calls
+	families, err := registry.Gather()
+	is.NoErr(err)
+	own := 0
+	for _, f := range families {
+		if len(f.GetName()) > 9 && f.GetName()[:9] == "mangopath" {
+			own++
+		}
+	}
+	is.Equal(own, len(m.collectors()))
+	problems, err := testutil.GatherAndLint(registry)
+	is.NoErr(err)
+	is.Equal(len(problems), 0)
+}
+
+// Guards against a second set of collectors that silently counts nothing.
+func TestRegisterTwice(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	_, err := New(registry)
+	is.NoErr(err)
+	_, err = New(registry)
+	var fault *Error
+	is.True(errors.As(err, &fault))
+	is.Equal(fault.Kind, KindRegister)
+}
