--- a/internal/mangoengine/engine_test.go
+++ b/internal/mangoengine/engine_test.go
@@ -94,6 +94,8 @@
 	again := s.step(first.Count, "", []uint32{first.Token}, nil)
 	is.Equal(again.Token, next.Token)
 	is.Equal(s.step(first.Count+5, "", []uint32{1}, nil).Error, "Gap")
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	is.Equal(len(e.trace), 2)
 }
 
--- /dev/null
+++ b/internal/mangoservice/execute.go
@@ -0,0 +1,128 @@
+package mangoservice
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// maxBody bounds the body of a request, in bytes.
+const maxBody = 64 << 20
+
+// Execution is the answer to a request that ran.
+type Execution struct {
+	Host   string
+	Method string
+	Path   string
+	Key    string
+	// Number counts the executions with the key on this host, from 1.
+	Number     uint64
+	BodyDigest string
+}
+
+// execute runs a request and replies after its time. The effect is counted before the delay, so that a caller that
+// gives up or is cut off leaves an effect behind.
+func (s *Server) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "Invalid", err.Error())
+		return
+	}
+	e := Execution{Host: s.host, Method: r.Method, Path: r.URL.Path, Key: r.Header.Get("Idempotency-Key")}
+	e.BodyDigest = fmt.Sprintf("%016x", xxhash.Sum64(body))
+	faults, ok := s.begin(&e, body)
+	if !ok {
+		w.Header().Set("Not-Executed", "true")
+		fail(w, http.StatusServiceUnavailable, "Refused", "the request did not run")
+		return
+	}
+	defer s.finish()
+	delay := s.delay
+	if faults.DelayMs > 0 {
+		delay = time.Duration(faults.DelayMs) * time.Millisecond
+	}
+	time.Sleep(delay)
+	if s.dropReply() {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, e)
+}
+
+// begin counts an execution unless the server refuses it.
+func (s *Server) begin(e *Execution, body []byte) (Faults, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || s.faults.Refuse {
+		return s.faults, false
+	}
+	s.running++
+	s.executions[e.Key]++
+	e.Number = s.executions[e.Key]
+	if _, err := fmt.Fprintln(s.journal, e.Key); err != nil {
+		// A journal with gaps would hide executions.
+		panic(err)
+	}
+	if poison := s.faults.CrashOnBody; poison != "" && strings.Contains(string(body), poison) {
+		s.crash()
+	}
+	return s.faults, true
+}
+
+func (s *Server) finish() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+}
+
+func (s *Server) dropReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.DropReplies == 0 {
+		return false
+	}
+	s.faults.DropReplies--
+	return true
+}
+
+func (s *Server) getExecutions(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(w, s.executions)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&f); err != nil {
+		fail(w, http.StatusBadRequest, "Invalid", err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	reply(w, struct{}{})
+}
+
+func (s *Server) postStop(w http.ResponseWriter, _ *http.Request) {
+	s.Stop()
+	reply(w, struct{}{})
+}
+
+func reply(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the caller has gone, and nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func fail(w http.ResponseWriter, status int, kind, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	body := &mangomessage.CallErrorBody{Error: &mangomessage.CallError{Kind: kind, Message: message}}
+	_ = json.NewEncoder(w).Encode(body)
+}
