--- /dev/null
+++ b/internal/mangoadmission/admission.go
@@ -0,0 +1,218 @@
+package mangoadmission
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/internal/mangocontrol"
+	"mangopath.org/mangopath/internal/mangocustomer"
+	"mangopath.org/mangopath/internal/mangodispatch"
+	"mangopath.org/mangopath/internal/mangogateway"
+	"mangopath.org/mangopath/internal/mangoupstream"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	defaultDeadline  = 60 * time.Second
+	defaultMaxTokens = 512
+)
+
+// Control resolves names on the present control state.
+type Control interface {
+	Resolve(ctx context.Context, name string) (*mangomessage.Profile, error)
+	Snapshot() *mangocontrol.Snapshot
+}
+
+// Queue admits calls fairly.
+type Queue interface {
+	Acquire(ctx context.Context, request mangocustomer.Request) (func(), error)
+}
+
+// Limiter bounds the rate of a customer across all entry hosts; it returns the time to wait when the rate is used up.
+type Limiter interface {
+	Allow(customer *mangomessage.Customer, now time.Time) (time.Duration, bool)
+}
+
+// Suspects knows the requests that crashed upstreams.
+type Suspects interface {
+	Check(fingerprint string, now time.Time) Verdict
+}
+
+// Verdict says what may be done with a request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	Clear Verdict = iota + 1
+	Suspect
+	Condemned
+)
+
+// Driver runs completions.
+type Driver interface {
+	Run(ctx context.Context, call mangocall.Call, sink mangocall.Sink) (mangocall.Result, error)
+}
+
+// Dispatcher runs calls to plain services.
+type Dispatcher interface {
+	Run(ctx context.Context, call mangodispatch.Call) (mangoupstream.Answer, error)
+}
+
+// Admission is the path of a request from the gateway to its driver.
+type Admission struct {
+	control    Control
+	queue      Queue
+	driver     Driver
+	dispatcher Dispatcher
+	limiter    Limiter
+	suspects   Suspects
+	logger     logrus.FieldLogger
+}
+
+var (
+	_ mangogateway.Completer     = (*Admission)(nil)
+	_ mangogateway.Caller        = (*Admission)(nil)
+	_ mangogateway.Authenticator = (*Admission)(nil)
+)
+
+// Option changes an admission during construction.
+type Option func(*Admission)
+
+// WithLimiter sets the limits of customers.
+func WithLimiter(limiter Limiter) Option { return func(a *Admission) { a.limiter = limiter } }
+
+// WithSuspects sets the knowledge of requests that crashed upstreams.
+func WithSuspects(suspects Suspects) Option { return func(a *Admission) { a.suspects = suspects } }
+
+// WithLogger sets the logger of refusals.
+func WithLogger(logger logrus.FieldLogger) Option { return func(a *Admission) { a.logger = logger } }
+
+// New returns an admission.
+func New(control Control, queue Queue, driver Driver, dispatcher Dispatcher, opts ...Option) *Admission {
+	a := &Admission{control: control, queue: queue, driver: driver, dispatcher: dispatcher, logger: logrus.StandardLogger()}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// Complete implements mangogateway.Completer.
+func (a *Admission) Complete(ctx context.Context, c mangogateway.Completion, sink mangocall.Sink) (mangocall.Result, error) {
+	profile, customer, err := a.admit(ctx, c.Request, mangocontrol.KindCompletion)
+	if err != nil {
+		return mangocall.Result{}, err
+	}
+	fingerprint := Fingerprint(c.Request, profile)
+	verdict, err := a.verdict(fingerprint)
+	if err != nil {
+		return mangocall.Result{}, err
+	}
+	call := mangocall.Call{
+		ID: c.ID, Customer: c.Customer, Profile: profile, Name: c.Name, Prompt: c.Prompt, MaxTokens: maxTokens(profile, c.MaxTokens),
+		Deadline: deadline(profile, c.Request), Fingerprint: fingerprint, Suspect: verdict == Suspect,
+	}
+	release, err := a.queue.Acquire(ctx, mangocustomer.Request{
+		Customer: c.Customer, Weight: customer.Weight, Profile: mangocontrol.Pool(profile),
+		Cost: float64(call.MaxTokens), Deadline: call.Deadline,
+	})
+	if err != nil {
+		return mangocall.Result{}, err
+	}
+	defer release()
+	return a.driver.Run(ctx, call, sink)
+}
+
+// Call implements mangogateway.Caller.
+func (a *Admission) Call(ctx context.Context, c mangogateway.ServiceCall) (mangogateway.Answer, error) {
+	profile, _, err := a.admit(ctx, c.Request, mangocontrol.KindService)
+	if err != nil {
+		return mangogateway.Answer{}, err
+	}
+	if _, err := a.verdict(Fingerprint(c.Request, profile)); err != nil {
+		return mangogateway.Answer{}, err
+	}
+	answer, err := a.dispatcher.Run(ctx, mangodispatch.Call{
+		ID: c.ID, Customer: c.Customer, Profile: profile, Deadline: deadline(profile, c.Request),
+		Request: mangoupstream.Request{
+			Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, IdempotencyKey: c.Key,
+		},
+	})
+	if err != nil {
+		return mangogateway.Answer{}, err
+	}
+	return mangogateway.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, nil
+}
+
+// admit resolves the profile and checks that the customer may call it now.
+func (a *Admission) admit(ctx context.Context, r mangogateway.Request, kind string) (*mangomessage.Profile, *mangomessage.Customer, error) {
+	profile, err := a.control.Resolve(ctx, r.Name)
+	if err != nil {
+		return nil, nil, reject(mangocall.KindUnknownProfile, errors.Errorf("no profile or alias is named %q", r.Name))
+	}
+	if profile.Kind != kind {
+		return nil, nil, reject(mangocall.KindInvalid, errors.Errorf("profile %q is of kind %q; this path serves kind %q", r.Name, profile.Kind, kind))
+	}
+	customer := a.control.Snapshot().Book.Customer(r.Customer)
+	if customer == nil || !allowed(customer, r.Name, profile.Name) {
+		return nil, nil, reject(mangocall.KindUnauthorised, errors.Errorf("customer %q may not call %q", r.Customer, r.Name))
+	}
+	if a.limiter == nil {
+		return profile, customer, nil
+	}
+	if wait, ok := a.limiter.Allow(customer, time.Now()); !ok {
+		return nil, nil, &mangocall.Error{
+			Op: "admit", Kind: mangocall.KindLimit, Outcome: mangocall.NotRun, RetryAfter: wait,
+			Err: errors.Errorf("customer %q exceeds %d calls per second", customer.Name, customer.RatePerSecond),
+		}
+	}
+	return profile, customer, nil
+}
+
+// verdict refuses a request that crashed upstreams.
+func (a *Admission) verdict(fingerprint string) (Verdict, error) {
+	if a.suspects == nil {
+		return Clear, nil
+	}
+	v := a.suspects.Check(fingerprint, time.Now())
+	if v == Condemned {
+		a.logger.WithFields(logrus.Fields{"event": "quarantined", "fingerprint": fingerprint}).Warn("request refused")
+		return v, reject(mangocall.KindQuarantine, errors.New("the request crashed upstreams"))
+	}
+	return v, nil
+}
+
+func reject(kind mangocall.Kind, err error) error {
+	return &mangocall.Error{Op: "admit", Kind: kind, Outcome: mangocall.Rejected, Err: err}
+}
+
+func allowed(customer *mangomessage.Customer, names ...string) bool {
+	return len(customer.Profiles) == 0 || slices.ContainsFunc(names, func(n string) bool { return slices.Contains(customer.Profiles, n) })
+}
+
+func maxTokens(profile *mangomessage.Profile, asked int) int {
+	limit := int(profile.MaxTokens)
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+	if asked == 0 {
+		return limit
+	}
+	return min(asked, limit)
+}
+
+// deadline is the profile's, or the caller's own when that is earlier.
+func deadline(profile *mangomessage.Profile, r mangogateway.Request) time.Time {
+	within := time.Duration(profile.DeadlineMs) * time.Millisecond
+	if within == 0 {
+		within = defaultDeadline
+	}
+	if r.Within > 0 {
+		within = min(within, r.Within)
+	}
+	return r.Arrived.Add(within)
+}
--- /dev/null
+++ b/internal/mangoadmission/identity.go
@@ -0,0 +1,30 @@
+package mangoadmission
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/internal/mangogateway"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Customer implements mangogateway.Authenticator. Only the digest of the key is looked up, so that the time of the
+// search tells nothing about the keys.
+func (a *Admission) Customer(key string) (string, error) {
+	sum := sha256.Sum256([]byte(key))
+	customer := a.control.Snapshot().Book.CustomerByDigest(hex.EncodeToString(sum[:]))
+	if customer == nil {
+		return "", reject(mangocall.KindUnauthorised, errors.New("the key belongs to no customer"))
+	}
+	return customer.Name, nil
+}
+
+// Fingerprint identifies a request by customer, profile and body, so that it is recognised on any entry host when its
+// caller sends it again.
+func Fingerprint(r mangogateway.Request, profile *mangomessage.Profile) string {
+	sum := sha256.Sum256([]byte(r.Customer + "\x00" + profile.Name + "\x00" + r.BodyDigest))
+	return hex.EncodeToString(sum[:16])
+}
--- a/internal/mangocontrol/choose.go
+++ b/internal/mangocontrol/choose.go
@@ -11,6 +11,7 @@
 
 	"mangopath.org/mangopath/internal/mangocall"
 	"mangopath.org/mangopath/internal/mangochain"
+	"mangopath.org/mangopath/internal/mangodispatch"
 	"mangopath.org/mangopath/internal/mangohost"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -60,29 +61,27 @@
 	}).Info("chain chosen")
 }
 
-// ServiceHosts returns the usable hosts of a plain service, those of this data centre first; ejected ones only when
-// there is no other.
-func (c *Controller) ServiceHosts(profile *mangomessage.Profile) []mangohost.Host {
+// Usable returns the replicas of a plain service that may get calls; ejected ones only when there is no other.
+func (c *Controller) Usable(profile *mangomessage.Profile) []mangodispatch.Replica {
 	s := c.Snapshot()
-	var local, remote, ejected []mangohost.Host
+	var usable, ejected []mangodispatch.Replica
 	for _, place := range profile.Places {
 		for _, name := range place.Hosts {
 			h, ok := s.Directory.Host(name)
-			if !ok {
+			if !ok || h.Role != mangohost.RoleService {
 				continue
 			}
-			switch state := h.State(s.At); {
-			case state == mangohost.StateEjected:
-				ejected = append(ejected, h)
-			case state != mangohost.StateLive:
-			case h.DataCentre == c.identity.DataCentre:
-				local = append(local, h)
-			default:
-				remote = append(remote, h)
+			r := mangodispatch.Replica{Host: h.Name, Address: h.Address, Peers: s.Peers[h.Name], Far: h.DataCentre != c.identity.DataCentre}
+			switch h.State(s.At) {
+			case mangohost.StateLive:
+				usable = append(usable, r)
+			case mangohost.StateEjected:
+				ejected = append(ejected, r)
+			case mangohost.StateLeaving, mangohost.StateUnprobed:
 			}
 		}
 	}
-	if usable := append(local, remote...); len(usable) > 0 {
+	if len(usable) > 0 {
 		return usable
 	}
 	return ejected
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -20,6 +20,12 @@
 	commandQueue = 1024
 )
 
+// Kinds of profiles.
+const (
+	KindCompletion = "completion"
+	KindService    = "service"
+)
+
 // Identity says which entry host this is.
 type Identity struct {
 	Name       string
--- a/internal/mangocontrol/serve.go
+++ b/internal/mangocontrol/serve.go
@@ -40,8 +40,8 @@
 
 // fetch reads all pages of a peer's book at one revision; nil means that it changed meanwhile.
 func (c *Controller) fetch(ctx context.Context, address string, revision uint64) (*mangoprofile.Book, error) {
-	pages := make([][]*mangomessage.Entry, mangoprofile.Pages)
-	for i := range pages {
+	pages := make(map[int][]*mangomessage.Entry, mangoprofile.Pages)
+	for i := range mangoprofile.Pages {
 		reply, err := c.peers.Fetch(ctx, address, &mangomessage.FetchRequest{Page: uint32(i)})
 		if err != nil {
 			return nil, err
