Add the open-loop load generator

Cause: objectives are stated as goodput and latency under a given load, which a closed loop would hide. Change: mangostandin load sends completions and service calls from a JSON plan, counts outcomes, weighs whole, right and on-time answers by kind, checks texts against the fault-free answer and reports times from the intended send time.

--- /dev/null
+++ b/cmd/mangostandin/load.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"mangopath.org/mangopath/internal/mangoload"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "open-loop load generator; the result is JSON on standard output",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plan", Required: true, Usage: "JSON `FILE` that says what to send"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			plan, err := mangoload.ReadPlan(c.String("plan"))
+			if err != nil {
+				return err
+			}
+			ctx, cancel := signalContext(ctx)
+			defer cancel()
+			encoder := json.NewEncoder(os.Stdout)
+			encoder.SetIndent("", "  ")
+			return encoder.Encode(mangoload.New(plan).Run(ctx))
+		},
+	}
+}
--- a/cmd/mangostandin/main.go
+++ b/cmd/mangostandin/main.go
@@ -13,7 +13,7 @@
 	command := &cli.Command{
 		Name:     "mangostandin",
 		Usage:    "stand-ins for engines, services and the platform",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), proxyCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), proxyCommand(), loadCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mangostandin:", err)
--- /dev/null
+++ b/internal/mangoload/generator_test.go
@@ -0,0 +1,194 @@
+package mangoload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"mangopath.org/mangopath/internal/mangoengine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testPlan(target string) Plan {
+	model := mangoengine.Model{Name: "m", Version: "1"}
+	return Plan{
+		Targets: []string{target}, Customers: []Customer{{Name: "a", Key: "k"}}, DurationMs: 400, GraceMs: 100, Seed: 1,
+		Kinds: []Kind{{
+			Name: "k", Profile: "p", Rate: 25, PromptWords: 3, MaxTokens: 2, DeadlineMs: 300, Weight: 2,
+			Expected: []Expected{{model, 4}},
+		}},
+	}
+}
+
+// answerStream writes the fault-free answer, with faults by name.
+func answerStream(w http.ResponseWriter, r *http.Request, fault string) {
+	var c completionRequest
+	_ = json.NewDecoder(r.Body).Decode(&c)
+	answer := testPlan("").Kinds[0].Expected[0].Answer(4, c.Prompt, c.MaxTokens)
+	text := answer.Text
+	switch fault {
+	case "late":
+		time.Sleep(350 * time.Millisecond)
+	case "wrong":
+		text = " else"
+	case "not run":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprint(w, `{"Error":{"Outcome":"NotRun"}}`)
+		return
+	case "broken":
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", text)
+	switch fault {
+	case "truncated":
+		return
+	case "error event":
+		_, _ = fmt.Fprint(w, "event: error\ndata: {\"Error\":{\"Outcome\":\"Unknown\"}}\n\n")
+		return
+	}
+	_, _ = fmt.Fprint(w, "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}]}\n\ndata: [DONE]\n\n")
+}
+
+// Guards against answers that count as good although they are late, wrong, cut off or not there, and against outcomes
+// that are counted as another.
+func TestOutcomes(t *testing.T) {
+	tests := []struct {
+		fault   string
+		outcome Outcome
+		good    bool
+		wrong   bool
+	}{
+		{"", Answered, true, false},
+		{"late", Answered, false, false},
+		{"wrong", Answered, false, true},
+		{"not run", NotRun, false, false},
+		{"broken", NoReply, false, false},
+		{"truncated", Truncated, false, false},
+		{"error event", Unknown, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.fault, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				answerStream(w, r, test.fault)
+			}))
+			defer server.Close()
+			total := New(testPlan(server.URL)).Run(context.Background()).Total
+			is.True(total.Sent > 3)
+			is.Equal(total.Outcomes[test.outcome], total.Sent)
+			is.Equal(total.OnTime == total.Sent, test.good)
+			is.Equal(total.Wrong == total.Sent, test.wrong)
+			is.Equal(total.GoodputShare == 1, test.good)
+		})
+	}
+}
+
+// Guards against a closed loop, in which a slow target hides its latency by being sent less.
+func TestLatencyFromIntendedTime(t *testing.T) {
+	is := is.New(t)
+	var running, most atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		most.Store(max(most.Load(), running.Add(1)))
+		defer running.Add(-1)
+		time.Sleep(200 * time.Millisecond)
+		answerStream(w, r, "")
+	}))
+	defer server.Close()
+	total := New(testPlan(server.URL)).Run(context.Background()).Total
+	is.True(most.Load() > 1)
+	is.True(total.Latency.P50 >= 200)
+	is.True(total.FirstToken.P50 >= 200)
+}
+
+// Guards against a call that is retried without being asked for, and against retries with another idempotency key.
+func TestRetryOfNotRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		retries  int
+		attempts int
+		onTime   bool
+	}{{"off by default", 0, 1, false}, {"same key", 1, 2, true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			seen := make(chan string, 1000)
+			keys := map[string]bool{}
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				seen <- r.Header.Get("Idempotency-Key")
+				if len(seen) == 1 {
+					answerStream(w, r, "not run")
+					return
+				}
+				_, _ = fmt.Fprint(w, "{}")
+			}))
+			defer server.Close()
+			plan := testPlan(server.URL)
+			plan.Kinds[0].Service, plan.Retry = true, Retry{Max: test.retries}
+			g := New(plan)
+			a := plan.withDefaults().schedule()[0]
+			r := g.call(context.Background(), a, time.Now())
+			g.client.CloseIdleConnections()
+			close(seen)
+			for key := range seen {
+				keys[key] = true
+			}
+			is.Equal(r.retries+1, test.attempts)
+			is.Equal(r.good(), test.onTime)
+			is.Equal(keys, map[string]bool{a.key: true})
+		})
+	}
+}
+
+// Guards against a schedule that depends on anything but the plan, and against shares that are not kept.
+func TestSchedule(t *testing.T) {
+	is := is.New(t)
+	plan := testPlan("http://x")
+	plan.DurationMs, plan.Kinds[0].Rate = 10000, 200
+	plan.Customers = []Customer{{Name: "big", Share: 9}, {Name: "small", Share: 1}}
+	all := plan.schedule()
+	is.Equal(len(all), len(plan.schedule()))
+	is.True(slices.EqualFunc(all, plan.schedule(), func(a, b arrival) bool {
+		return a.at == b.at && a.key == b.key && a.prompt == b.prompt
+	}))
+	small := 0
+	for _, a := range all {
+		if a.customer.Name == "small" {
+			small++
+		}
+	}
+	is.True(len(all) > 1800 && len(all) < 2200)
+	is.True(small > 140 && small < 260)
+}
+
+// Guards against plans that run although a value makes no sense.
+func TestPlanCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(p *Plan)
+	}{
+		{"no target", func(p *Plan) { p.Targets = nil }},
+		{"no customer", func(p *Plan) { p.Customers = nil }},
+		{"no rate", func(p *Plan) { p.Kinds[0].Rate = 0 }},
+		{"no deadline", func(p *Plan) { p.Kinds[0].DeadlineMs = 0 }},
+		{"warm-up only", func(p *Plan) { p.WarmupMs = p.DurationMs }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			plan := testPlan("http://x")
+			is.NoErr(plan.check())
+			test.change(&plan)
+			is.True(plan.check() != nil)
+		})
+	}
+}
