Add the naive router

Change: mangostandin naive serves the callers' API on static replicas by round robin, with a fixed timeout and blind retries.

--- a/cmd/mangostandin/main.go
+++ b/cmd/mangostandin/main.go
@@ -11,9 +11,11 @@
 
 func main() {
 	command := &cli.Command{
-		Name:     "mangostandin",
-		Usage:    "stand-ins for engines, services and the platform",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), proxyCommand(), loadCommand()},
+		Name:  "mangostandin",
+		Usage: "stand-ins for engines, services and the platform",
+		Commands: []*cli.Command{
+			platformCommand(), engineCommand(), serviceCommand(), proxyCommand(), loadCommand(), naiveCommand(),
+		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mangostandin:", err)
--- /dev/null
+++ b/internal/mangonaive/client.go
@@ -0,0 +1,118 @@
+package mangonaive
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// stream carries the steps of one call on one stage.
+type stream struct {
+	open    *mangomessage.Open
+	lines   *json.Decoder
+	writer  *io.PipeWriter
+	body    io.Closer
+	cancel  context.CancelFunc
+	timeout time.Duration
+}
+
+// open connects to a replica and sends Open as the first line of the request's body.
+func (r *Router) open(ctx context.Context, replica string, open *mangomessage.Open) (*stream, error) {
+	line, err := json.Marshal(open)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode open")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	reader, pipe := io.Pipe()
+	s := &stream{open: open, writer: pipe, body: reader, cancel: cancel, timeout: r.timeout}
+	timer := time.AfterFunc(r.timeout, cancel)
+	defer timer.Stop()
+	if err := s.connect(ctx, r.client, replica, io.MultiReader(bytes.NewReader(append(line, '\n')), reader)); err != nil {
+		s.close()
+		return nil, errors.Wrapf(err, "open on %s", replica)
+	}
+	return s, nil
+}
+
+func (s *stream) connect(ctx context.Context, client *http.Client, replica string, body io.Reader) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+replica+"/v1/stream", body)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Do(request) //nolint:bodyclose // The body ends with the stream, in close.
+	if err != nil {
+		return err
+	}
+	s.body, s.lines = reply.Body, json.NewDecoder(reply.Body)
+	opened := &mangomessage.Opened{}
+	if err := s.lines.Decode(opened); err != nil {
+		return err
+	}
+	if !opened.Accepted {
+		return errors.Errorf("refused: %s", opened.Reason)
+	}
+	return nil
+}
+
+// step sends a step and waits a fixed time for its result.
+func (s *stream) step(step *mangomessage.Step) (*mangomessage.StepResult, error) {
+	o := s.open
+	step.Call, step.Attempt, step.Version = o.Call, o.Attempt, o.Version
+	step.FromLayer, step.ToLayer = o.FromLayer, o.ToLayer
+	timer := time.AfterFunc(s.timeout, s.close)
+	defer timer.Stop()
+	if err := json.NewEncoder(s.writer).Encode(step); err != nil {
+		return nil, errors.Wrap(err, "send step")
+	}
+	result := &mangomessage.StepResult{}
+	if err := s.lines.Decode(result); err != nil {
+		return nil, errors.Wrap(err, "read result")
+	}
+	if result.Error != "" {
+		return nil, errors.Errorf("step did not run: %s", result.Error)
+	}
+	return result, nil
+}
+
+func (s *stream) close() {
+	s.cancel()
+	_ = s.writer.Close()
+	_ = s.body.Close()
+}
+
+// callOnce sends a service call and passes the answer on.
+func (r *Router) callOnce(w http.ResponseWriter, request *http.Request, replica string, body []byte) error {
+	ctx, cancel := context.WithTimeout(request.Context(), r.timeout)
+	defer cancel()
+	url := "http://" + replica + "/" + request.PathValue("path")
+	sent, err := http.NewRequestWithContext(ctx, request.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	sent.Header.Set("Content-Type", request.Header.Get("Content-Type"))
+	sent.Header.Set("Idempotency-Key", request.Header.Get("Idempotency-Key"))
+	reply, err := r.client.Do(sent)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	data, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return err
+	}
+	if reply.StatusCode >= http.StatusInternalServerError {
+		return errors.Errorf("status %d from %s", reply.StatusCode, replica)
+	}
+	w.Header().Set("Content-Type", reply.Header.Get("Content-Type"))
+	w.Header().Set("Mangopath-Outcome", "Answer")
+	w.WriteHeader(reply.StatusCode)
+	_, _ = w.Write(data)
+	return nil
+}
--- /dev/null
+++ b/internal/mangonaive/completion.go
@@ -0,0 +1,153 @@
+package mangonaive
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+type choice struct {
+	Index        int    `json:"index"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// writer sends an answer to the caller, as events or as a whole.
+type writer struct {
+	http.ResponseWriter
+	id      string
+	request completionRequest
+	text    strings.Builder
+	tokens  int
+}
+
+func (w *writer) event(c choice, u *usage) {
+	data, _ := json.Marshal(completion{w.id, "text_completion", w.request.Model, []choice{c}, u})
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	// A caller that has gone is noticed by the context of its request.
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *writer) token(text string) {
+	if w.tokens == 0 && w.request.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Mangopath-Outcome", "Answer")
+	}
+	w.tokens++
+	w.text.WriteString(text)
+	if w.request.Stream {
+		w.event(choice{Text: text}, nil)
+	}
+}
+
+func (w *writer) end(reason string) {
+	if w.request.Stream {
+		w.event(choice{FinishReason: reason}, &usage{w.tokens})
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Mangopath-Outcome", "Answer")
+	_ = json.NewEncoder(w).Encode(completion{
+		w.id, "text_completion", w.request.Model,
+		[]choice{{Text: w.text.String(), FinishReason: reason}},
+		&usage{w.tokens},
+	})
+}
+
+// complete starts over on the next chain after a failure. A stream whose first token was sent cannot start over and is
+// aborted.
+func (r *Router) complete(w http.ResponseWriter, request *http.Request) {
+	var c completionRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxBody)).Decode(&c)
+	p := r.profiles[c.Model]
+	if err != nil || p == nil || len(p.Stages) == 0 || c.MaxTokens <= 0 {
+		fail(w, http.StatusBadRequest, "Rejected", "unknown profile or invalid body")
+		return
+	}
+	for range r.retries + 1 {
+		out := &writer{ResponseWriter: w, id: newID(), request: c}
+		if err = r.attempt(request.Context(), p, out); err == nil {
+			return
+		}
+		if c.Stream && out.tokens > 0 {
+			data, _ := json.Marshal(errorBody("Unknown", err.Error()))
+			_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	fail(w, http.StatusBadGateway, "Unknown", err.Error())
+}
+
+// attempt runs the call on one chain.
+func (r *Router) attempt(ctx context.Context, p *Profile, out *writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var streams []*stream
+	for i, replica := range r.chain(p) {
+		s, err := r.open(ctx, replica, &mangomessage.Open{
+			Call: out.id, Attempt: 1, Model: p.Model, Version: p.Version, Adapters: p.Adapters,
+			FromLayer: p.Stages[i].FromLayer, ToLayer: p.Stages[i].ToLayer,
+		})
+		if err != nil {
+			return err
+		}
+		defer s.close()
+		streams = append(streams, s)
+	}
+	step := mangomessage.Step{Text: out.request.Prompt}
+	for out.tokens < out.request.MaxTokens {
+		result, err := runChain(streams, &step)
+		if err != nil {
+			return err
+		}
+		out.token(result.Text)
+		if result.End {
+			out.end("stop")
+			return nil
+		}
+		step.Position, step.Text, step.Tokens = step.Position+result.Count, "", []uint32{result.Token}
+	}
+	out.end("length")
+	return nil
+}
+
+// runChain passes a step through all stages.
+func runChain(streams []*stream, step *mangomessage.Step) (*mangomessage.StepResult, error) {
+	var result *mangomessage.StepResult
+	for i, s := range streams {
+		next := &mangomessage.Step{Position: step.Position, Text: step.Text, Tokens: step.Tokens}
+		if i > 0 {
+			next = &mangomessage.Step{Position: step.Position, Count: result.Count, Hidden: result.Hidden}
+		}
+		var err error
+		if result, err = s.step(next); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/mangonaive/router.go
@@ -0,0 +1,91 @@
+package mangonaive
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// maxBody bounds the body of a call, in bytes.
+const maxBody = 1 << 20
+
+// Router is the naive router; it is safe for concurrent use.
+type Router struct {
+	mux      *http.ServeMux
+	profiles map[string]*Profile
+	timeout  time.Duration
+	retries  int
+	client   *http.Client
+	turn     atomic.Uint64
+}
+
+// New returns a router for checked settings.
+func New(s Settings) *Router {
+	r := &Router{
+		mux: http.NewServeMux(), profiles: map[string]*Profile{}, retries: s.Retries,
+		timeout: time.Duration(s.TimeoutMs) * time.Millisecond,
+	}
+	if r.timeout == 0 {
+		r.timeout = 2 * time.Second
+	}
+	for i := range s.Profiles {
+		r.profiles[s.Profiles[i].Name] = &s.Profiles[i]
+	}
+	dialer := net.Dialer{Timeout: r.timeout}
+	r.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 100}}
+	r.mux.HandleFunc("POST /v1/completions", r.complete)
+	r.mux.HandleFunc("/v1/services/{name}/{path...}", r.callService)
+	return r
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Router) ServeHTTP(w http.ResponseWriter, request *http.Request) { r.mux.ServeHTTP(w, request) }
+
+// Close ends the idle connections.
+func (r *Router) Close() { r.client.CloseIdleConnections() }
+
+// chain returns the next replica of each stage.
+func (r *Router) chain(p *Profile) []string {
+	turn := r.turn.Add(1)
+	var chain []string
+	for _, s := range p.Stages {
+		chain = append(chain, s.Replicas[turn%uint64(len(s.Replicas))])
+	}
+	return chain
+}
+
+// callService sends the call again after any failure, whether or not it ran.
+func (r *Router) callService(w http.ResponseWriter, request *http.Request) {
+	p := r.profiles[request.PathValue("name")]
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBody))
+	if p == nil || len(p.Services) == 0 || err != nil {
+		fail(w, http.StatusBadRequest, "Rejected", "unknown profile or invalid body")
+		return
+	}
+	for range r.retries + 1 {
+		replica := p.Services[r.turn.Add(1)%uint64(len(p.Services))]
+		if err = r.callOnce(w, request, replica, body); err == nil {
+			return
+		}
+	}
+	fail(w, http.StatusBadGateway, "Unknown", err.Error())
+}
+
+func fail(w http.ResponseWriter, status int, outcome, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Mangopath-Outcome", outcome)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody(outcome, message))
+}
+
+func errorBody(outcome, message string) *mangomessage.CallErrorBody {
+	return &mangomessage.CallErrorBody{Error: &mangomessage.CallError{Outcome: outcome, Kind: "Upstream", Message: message}}
+}
+
+func newID() string { return "naive-" + rand.Text() }
--- /dev/null
+++ b/internal/mangonaive/settings.go
@@ -0,0 +1,64 @@
+package mangonaive
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Stage is the replicas that hold the same layers.
+type Stage struct {
+	FromLayer uint32
+	ToLayer   uint32
+	// Replicas are IP addresses with ports.
+	Replicas []string
+}
+
+// Profile is a model with its stages in layer order, or a plain service with its replicas.
+type Profile struct {
+	Name     string
+	Model    string
+	Version  string
+	Adapters []string
+	Stages   []Stage
+	// Services are the replicas of a plain service.
+	Services []string
+}
+
+// Settings are the static replicas and the fixed bounds.
+type Settings struct {
+	Profiles []Profile
+	// TimeoutMs is for a connection, a step and a service call; 0 means 2 s.
+	TimeoutMs int64
+	// Retries of a call, without a budget over all calls.
+	Retries int
+}
+
+// ReadSettings reads a JSON file and checks it.
+func ReadSettings(path string) (Settings, error) {
+	var s Settings
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, errors.Wrap(err, "read replicas")
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, errors.Wrap(err, path)
+	}
+	return s, errors.Wrap(s.check(), path)
+}
+
+func (s Settings) check() error {
+	for _, p := range s.Profiles {
+		if len(p.Stages) == 0 && len(p.Services) == 0 {
+			return fmt.Errorf("profile %q must have Stages or Services", p.Name)
+		}
+		for _, stage := range p.Stages {
+			if len(stage.Replicas) == 0 {
+				return fmt.Errorf("profile %q: Replicas of layers %d to %d must not be empty", p.Name, stage.FromLayer, stage.ToLayer)
+			}
+		}
+	}
+	return nil
+}
