Add the client and the command line

Operators drive a migration by writing and switching profiles, and need exit statuses and conflicts that scripts can act on.

Add mangoclient for the operators' and callers' API and the commands serve, check, profile, host, status, explain and version. Changes carry the revision that was read and keep their ids over retries; a conflict with one's own accepted change is a success. serve ends in runDaemon, which has no daemon to run yet.

go test -race passes, with the commands run against the real operators' handlers on a book in memory.

--- /dev/null
+++ b/cmd/mangopath/host.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+func hostCommand() *cli.Command {
+	dryRun := &cli.BoolFlag{Name: "dry-run", Usage: "check only"}
+	return &cli.Command{
+		Name: "host", Usage: "take hosts out of service and list them",
+		Commands: []*cli.Command{
+			{
+				Name: "drain", Usage: "give hosts no new work", ArgsUsage: "HOST [HOST ...]", Flags: []cli.Flag{dryRun},
+				Description: "Example: mangopath host drain tekst-n-01 tekst-n-02", Action: mark(true),
+			},
+			{
+				Name: "undrain", Usage: "give hosts work again", ArgsUsage: "HOST [HOST ...]", Flags: []cli.Flag{dryRun},
+				Description: "Example: mangopath host undrain tekst-n-01", Action: mark(false),
+			},
+			{
+				Name: "list", Usage: "list hosts with their states and reasons",
+				Description: "Example: mangopath --output json host list", Action: hostList,
+			},
+		},
+	}
+}
+
+// mark returns the action that sets the drain mark of hosts. A host need not be listed, so that one can be marked
+// before it joins.
+func mark(drain bool) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		hosts, err := arguments(c, 1, math.MaxInt)
+		if err != nil {
+			return err
+		}
+		s, err := openSession(c)
+		if err != nil {
+			return err
+		}
+		list, err := s.client.Entries(ctx, "HostMark")
+		if err != nil {
+			return err
+		}
+		var marks []*mangomessage.Entry
+		for _, h := range hosts {
+			marks = append(marks, &mangomessage.Entry{Content: &mangomessage.Entry_HostMark{
+				HostMark: &mangomessage.HostMark{Host: h, Drain: drain},
+			}})
+		}
+		return s.put(ctx, c, list, marks)
+	}
+}
+
+func hostList(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c, 0, 0); err != nil {
+		return err
+	}
+	s, err := openSession(c)
+	if err != nil {
+		return err
+	}
+	reports, err := s.client.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return s.message(reports)
+	}
+	rows := [][]string{{"HOST", "ROLE", "DATA CENTRE", "STATE", "MODEL", "LAYERS", "LOAD", "REASONS"}}
+	for _, h := range reports.GetHosts() {
+		rows = append(rows, []string{
+			h.GetName(), h.GetRole(), h.GetDataCentre(), h.GetState(), strings.TrimSpace(h.GetModel() + " " + h.GetVersion()),
+			number(h.GetFromLayer()) + "-" + number(h.GetToLayer()), number(h.GetRunning()) + "+" + number(h.GetWaiting()),
+			strings.Join(h.GetReasons(), ","),
+		})
+	}
+	return s.table(rows)
+}
+
+func number(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
--- a/cmd/mangopath/main.go
+++ b/cmd/mangopath/main.go
@@ -4,13 +4,8 @@
 import (
 	"context"
 	"os"
-
-	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	command := &cli.Command{Name: "mangopath", Usage: "route requests to model pipelines on mixed accelerators"}
-	if err := command.Run(context.Background(), os.Args); err != nil {
-		os.Exit(1)
-	}
+	os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/cmd/mangopath/output.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// printer writes results in the format of --output.
+type printer struct {
+	out  io.Writer
+	json bool
+}
+
+func newPrinter(c *cli.Command) (printer, error) {
+	switch format := c.String("output"); format {
+	case "text", "json":
+		return printer{out: c.Root().Writer, json: format == "json"}, nil
+	default:
+		return printer{}, badValue("--output", format, "text or json")
+	}
+}
+
+// message writes a message as indented JSON.
+func (p printer) message(m proto.Message) error {
+	text, err := indented(m)
+	if err != nil {
+		return err
+	}
+	return p.line(text)
+}
+
+func (p printer) line(format string, args ...any) error {
+	if len(args) > 0 {
+		format = fmt.Sprintf(format, args...)
+	}
+	_, err := io.WriteString(p.out, format+"\n")
+	return errors.WithStack(err)
+}
+
+// indented returns JSON with stable spaces, which protojson alone does not promise.
+func indented(m proto.Message) (string, error) {
+	data, err := protojson.Marshal(m)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, data, "", "  "); err != nil {
+		return "", errors.WithStack(err)
+	}
+	return out.String(), nil
+}
+
+// table writes rows in columns; the first row is the heading.
+func (p printer) table(rows [][]string) error {
+	w := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	return errors.WithStack(w.Flush())
+}
--- /dev/null
+++ b/cmd/mangopath/serve.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"mangopath.org/mangopath/internal/mangosetting"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name: "serve", Usage: "run the daemon of an entry host",
+		Description: `The first SIGTERM or SIGINT drains the host and ends the program with status 0; a second one ends it at once.
+
+Example: mangopath serve -c /etc/mangopath/mangopath.ini`,
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: serve,
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"c", "f"}, Usage: "settings `FILE` in INI form"}
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c, 0, 0); err != nil {
+		return err
+	}
+	path := c.String("settings")
+	if path == "" {
+		return badValue("--settings", path, "the path of a settings file")
+	}
+	settings, err := mangosetting.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(c, settings.GetLog())
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// Restores the default action of the signals, so that a second one ends the program.
+	context.AfterFunc(ctx, stop)
+	return runDaemon(ctx, settings, logger)
+}
+
+// newLogger writes one line of key=value pairs per event.
+func newLogger(c *cli.Command, settings *mangomessage.LogSettings) (*logrus.Logger, error) {
+	logger := logrus.New()
+	logger.SetOutput(c.Root().ErrWriter)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	level, err := logrus.ParseLevel(settings.GetLevel())
+	if err != nil {
+		return nil, &Error{Op: "Log.Level", Kind: KindUsage, Err: errors.WithStack(err)}
+	}
+	logger.SetLevel(level)
+	return logger, nil
+}
--- /dev/null
+++ b/cmd/mangopath/session.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"mangopath.org/mangopath/pkg/mangoclient"
+)
+
+// maxTokenFile guards against a wrong file, in bytes.
+const maxTokenFile = 4096
+
+// session is what a command that talks to entry hosts needs.
+type session struct {
+	client *mangoclient.Operators
+	author string
+	printer
+}
+
+func openSession(c *cli.Command) (*session, error) {
+	p, err := newPrinter(c)
+	if err != nil {
+		return nil, err
+	}
+	if c.String("operators") == "" {
+		return nil, badValue("--operators", "", "ADDRESS[,ADDRESS], such as 127.0.0.1:7200")
+	}
+	token, err := readToken(c.String("token-file"))
+	if err != nil {
+		return nil, err
+	}
+	client, err := mangoclient.NewOperators(strings.Split(c.String("operators"), ","), token)
+	if err != nil {
+		return nil, &Error{Op: "--operators", Kind: KindUsage, Err: err}
+	}
+	author := c.String("author")
+	if author == "" {
+		author = "unknown"
+	}
+	return &session{client: client, author: author, printer: p}, nil
+}
+
+func readToken(path string) (string, error) {
+	const allowed = "the path of a file with the operators' token"
+	if path == "" {
+		return "", badValue("--token-file", path, allowed)
+	}
+	data, err := readBounded(path, maxTokenFile)
+	if err != nil {
+		return "", &Error{Op: "--token-file", Kind: KindUsage, Err: err}
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" || strings.ContainsAny(token, "\r\n") {
+		return "", badValue("--token-file", path, allowed+" on one line")
+	}
+	return token, nil
+}
+
+func readBounded(path string, bound int64) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, bound+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if int64(len(data)) > bound {
+		return nil, errors.Errorf("%s is larger than %d bytes", path, bound)
+	}
+	return data, nil
+}
--- a/internal/mangosetting/effective.go
+++ b/internal/mangosetting/effective.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -55,3 +56,23 @@
 		return value.String()
 	}
 }
+
+// Redacted returns a copy of settings without the content of secrets.
+func Redacted(settings *mangomessage.Settings) *mangomessage.Settings {
+	out, _ := proto.Clone(settings).(*mangomessage.Settings)
+	message := out.ProtoReflect()
+	sections := message.Descriptor().Fields()
+	for i := range sections.Len() {
+		redactSection(message.Mutable(sections.Get(i)).Message())
+	}
+	return out
+}
+
+func redactSection(message protoreflect.Message) {
+	fields := message.Descriptor().Fields()
+	for i := range fields.Len() {
+		if f := fields.Get(i); ruleOf(f).GetSecret() && message.Has(f) {
+			message.Set(f, protoreflect.ValueOfString(redacted))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/mangoclient/callers.go
@@ -0,0 +1,180 @@
+package mangoclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Callers is the client of the callers' API. It never sends a request twice by itself.
+type Callers struct {
+	base    string
+	key     string
+	options options
+}
+
+// NewCallers returns a client for the callers' listener or the load balancer in front of it.
+func NewCallers(address, key string, opts ...Option) (*Callers, error) {
+	base, err := baseURL(address)
+	if err != nil {
+		return nil, err
+	}
+	o := optionsOf(append([]Option{WithHTTPClient(&http.Client{})}, opts...))
+	return &Callers{base: base, key: key, options: o}, nil
+}
+
+// CompletionRequest asks for a completion; MaxTokens and Deadline of 0 leave them to the profile.
+type CompletionRequest struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Deadline  time.Duration
+}
+
+// Completion is a whole answer.
+type Completion struct {
+	Call         string
+	Text         string
+	FinishReason string
+	Tokens       int
+}
+
+// ServiceRequest is a call to a plain service; Key is required if the profile is not idempotent.
+type ServiceRequest struct {
+	Name        string
+	Path        string
+	ContentType string
+	Key         string
+	Body        []byte
+	Deadline    time.Duration
+}
+
+// ServiceAnswer is what the service answered, whatever its status.
+type ServiceAnswer struct {
+	Call        string
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens,omitempty"`
+	Stream    bool   `json:"stream,omitempty"`
+}
+
+type completionAnswer struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// Complete runs a completion and returns the whole answer. The error is an *Error with the outcome.
+func (c *Callers) Complete(ctx context.Context, request CompletionRequest) (Completion, error) {
+	response, err := c.postCompletion(ctx, request, false)
+	if err != nil {
+		return Completion{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	completion := Completion{Call: response.Header.Get("Mangopath-Call")}
+	var answer completionAnswer
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	if err != nil || len(answer.Choices) != 1 || answer.Choices[0].FinishReason == "" {
+		return completion, truncated(completion.Call, err)
+	}
+	completion.Text, completion.FinishReason = answer.Choices[0].Text, answer.Choices[0].FinishReason
+	completion.Tokens = answer.Usage.CompletionTokens
+	return completion, nil
+}
+
+// Call calls a plain service. The error is an *Error with the outcome.
+func (c *Callers) Call(ctx context.Context, request ServiceRequest) (ServiceAnswer, error) {
+	header := http.Header{}
+	if request.Key != "" {
+		header.Set("Idempotency-Key", request.Key)
+	}
+	if request.ContentType != "" {
+		header.Set("Content-Type", request.ContentType)
+	}
+	response, err := c.post(ctx, "/v1/services/"+request.Name+request.Path, request.Body, request.Deadline, header)
+	if err != nil {
+		return ServiceAnswer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := ServiceAnswer{
+		Call: response.Header.Get("Mangopath-Call"), Status: response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+	}
+	if answer.Body, err = io.ReadAll(io.LimitReader(response.Body, maxReply)); err != nil {
+		return answer, truncated(answer.Call, err)
+	}
+	return answer, nil
+}
+
+func (c *Callers) postCompletion(ctx context.Context, request CompletionRequest, stream bool) (*http.Response, error) {
+	body, err := json.Marshal(completionBody{request.Model, request.Prompt, request.MaxTokens, stream})
+	if err != nil {
+		return nil, &Error{Op: "Complete", Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	return c.post(ctx, "/v1/completions", body, request.Deadline, http.Header{"Content-Type": {"application/json"}})
+}
+
+// post returns a response whose outcome is an answer, with its body open.
+func (c *Callers) post(ctx context.Context, path string, body []byte, deadline time.Duration, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Op: path, Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	// net/http would send a request with an idempotency key twice if it could read the body again.
+	request.GetBody = nil
+	request.Header = header
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	if deadline > 0 {
+		request.Header.Set("Mangopath-Deadline-Ms", strconv.FormatInt(max(deadline.Milliseconds(), 1), 10))
+	}
+	response, err := c.options.client.Do(request)
+	if err != nil {
+		return nil, &Error{Op: path, Kind: KindUnreachable, Outcome: "Unknown", Err: errors.WithStack(err)}
+	}
+	if response.Header.Get("Mangopath-Outcome") == "Answer" {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, _ := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	return nil, callError(path, response.StatusCode, answer)
+}
+
+func callError(op string, status int, answer []byte) error {
+	var body mangomessage.CallErrorBody
+	e := &Error{Op: op, Kind: kindOf(status), Outcome: "Unknown", Err: errors.New(http.StatusText(status))}
+	if json.Unmarshal(answer, &body) != nil || body.GetError().GetOutcome() == "" {
+		return e
+	}
+	stated := body.GetError()
+	e.Outcome, e.Reason, e.Call, e.Err = stated.GetOutcome(), stated.GetKind(), stated.GetCall(), errors.New(stated.GetMessage())
+	e.RetryAfter = time.Duration(stated.GetRetryAfterMs()) * time.Millisecond
+	if e.Outcome == "Rejected" && e.Kind == KindInternal {
+		e.Kind = KindRejected
+	}
+	return e
+}
+
+func truncated(call string, err error) error {
+	if err == nil {
+		err = errors.New("there is no end mark")
+	}
+	return &Error{Op: "Read", Kind: KindTruncated, Outcome: "Unknown", Call: call, Err: errors.WithStack(err)}
+}
--- /dev/null
+++ b/pkg/mangoclient/option.go
@@ -0,0 +1,52 @@
+package mangoclient
+
+import (
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type options struct {
+	client *http.Client
+	rounds int
+	pause  time.Duration
+}
+
+// Option changes a client under construction.
+type Option func(*options)
+
+// WithHTTPClient sets the HTTP client, for example for TLS.
+func WithHTTPClient(client *http.Client) Option { return func(o *options) { o.client = client } }
+
+// WithRetries sets how often all addresses are tried and the pause between two rounds, for operators' requests.
+func WithRetries(rounds int, pause time.Duration) Option {
+	return func(o *options) { o.rounds, o.pause = rounds, pause }
+}
+
+func optionsOf(opts []Option) options {
+	o := options{client: &http.Client{Timeout: 10 * time.Second}, rounds: 3, pause: 500 * time.Millisecond}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// baseURL returns the URL of an address, which is an IP address and port with an optional http:// or https://.
+func baseURL(address string) (string, error) {
+	scheme, host, found := strings.Cut(address, "://")
+	if !found {
+		scheme, host = "http", address
+	}
+	_, err := netip.ParseAddrPort(host)
+	if err != nil || (scheme != "http" && scheme != "https") {
+		return "", &Error{
+			Op: "Address", Kind: KindInvalid,
+			Err: errors.Errorf("%q is not an IP address and port, such as 127.0.0.1:7200 or https://127.0.0.1:7200", address),
+		}
+	}
+	return (&url.URL{Scheme: scheme, Host: host}).String(), nil
+}
--- /dev/null
+++ b/pkg/mangoclient/stream.go
@@ -0,0 +1,92 @@
+package mangoclient
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxEvent bounds one server-sent event, in bytes.
+const maxEvent = 1 << 20
+
+// Stream runs a completion and hands each text to token as it arrives; an error of token ends the stream. The
+// answer is whole only if the error is nil.
+func (c *Callers) Stream(ctx context.Context, request CompletionRequest, token func(text string) error) (Completion, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := c.postCompletion(ctx, request, true)
+	if err != nil {
+		return Completion{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	r := &eventReader{completion: Completion{Call: response.Header.Get("Mangopath-Call")}, token: token}
+	return r.read(response.Body)
+}
+
+// eventReader reads the server-sent events of one answer.
+type eventReader struct {
+	completion Completion
+	token      func(string) error
+	text       strings.Builder
+	event      string
+}
+
+func (r *eventReader) read(body io.Reader) (Completion, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 4096), maxEvent)
+	for lines.Scan() {
+		done, err := r.line(lines.Text())
+		r.completion.Text = r.text.String()
+		if done || err != nil {
+			return r.completion, err
+		}
+	}
+	r.completion.Text = r.text.String()
+	return r.completion, truncated(r.completion.Call, lines.Err())
+}
+
+func (r *eventReader) line(line string) (bool, error) {
+	if line == "" {
+		r.event = ""
+		return false, nil
+	}
+	if event, found := strings.CutPrefix(line, "event: "); found {
+		r.event = event
+		return false, nil
+	}
+	data, found := strings.CutPrefix(line, "data: ")
+	if !found {
+		return false, nil
+	}
+	if r.event == "error" {
+		return false, callError("Stream", http.StatusGatewayTimeout, []byte(data))
+	}
+	if data != "[DONE]" {
+		return false, r.answer(data)
+	}
+	if r.completion.FinishReason == "" {
+		return false, truncated(r.completion.Call, nil)
+	}
+	return true, nil
+}
+
+func (r *eventReader) answer(data string) error {
+	var answer completionAnswer
+	if err := json.Unmarshal([]byte(data), &answer); err != nil || len(answer.Choices) != 1 {
+		return truncated(r.completion.Call, errors.Errorf("event %q is not a part of an answer", data))
+	}
+	if choice := answer.Choices[0]; choice.FinishReason != "" {
+		r.completion.FinishReason, r.completion.Tokens = choice.FinishReason, answer.Usage.CompletionTokens
+		return nil
+	}
+	r.text.WriteString(answer.Choices[0].Text)
+	if err := r.token(answer.Choices[0].Text); err != nil {
+		return &Error{Op: "Stream", Kind: KindStopped, Outcome: "Unknown", Call: r.completion.Call, Err: err}
+	}
+	return nil
+}
