Add the search for requests that crash upstreams

Cause: a request that crashes upstreams and is sent again must not take the fleet down, nor may calls beside it be refused.

--- /dev/null
+++ b/internal/mangosuspect/verdict.go
@@ -0,0 +1,93 @@
+package mangosuspect
+
+import "time"
+
+// Verdict is what is known about a fingerprint.
+type Verdict int
+
+const (
+	// Clear requests run anywhere.
+	Clear Verdict = iota
+	// Suspect requests were aboard a crashed host and run where no other suspect runs.
+	Suspect
+	// Condemned requests crash upstreams and are not to run.
+	Condemned
+)
+
+const (
+	// massWindow and massHosts recognise racks and switches that fail: with that many other hosts lost around a crash
+	// it takes a third crash to condemn.
+	massWindow = 10 * time.Second
+	massHosts  = 2
+)
+
+// Check returns the verdict on a fingerprint.
+func (s *Suspects) Check(fingerprint string, now time.Time) Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict, _ := s.judge(fingerprint, now)
+	return verdict
+}
+
+// judge returns the verdict, and whether reports that decide it may still be on their way.
+func (s *Suspects) judge(fingerprint string, now time.Time) (Verdict, bool) {
+	crashes := s.live(fingerprint, now)
+	if len(crashes) == 0 {
+		return Clear, false
+	}
+	if len(crashes) == 1 {
+		return Suspect, false
+	}
+	for _, c := range crashes {
+		if now.Sub(c.at) < s.settle {
+			return Suspect, true
+		}
+	}
+	if s.only(fingerprint, crashes) && len(crashes) >= s.needed(fingerprint, crashes) {
+		return Condemned, false
+	}
+	return Suspect, false
+}
+
+func (s *Suspects) live(fingerprint string, now time.Time) []*crash {
+	var live []*crash
+	for _, c := range s.aboard[fingerprint] {
+		if now.Sub(c.at) <= s.expiry {
+			live = append(live, c)
+		}
+	}
+	return live
+}
+
+// only reports whether no other fingerprint was aboard in all of the crashes.
+func (s *Suspects) only(fingerprint string, crashes []*crash) bool {
+	for f, counts := range crashes[0].aboard {
+		if !counts || f == fingerprint {
+			continue
+		}
+		common := true
+		for _, c := range crashes[1:] {
+			common = common && c.aboard[f]
+		}
+		if common {
+			return false
+		}
+	}
+	return true
+}
+
+// needed returns the number of crashes that condemn: two, or three when one of them was part of a mass failure.
+func (s *Suspects) needed(fingerprint string, crashes []*crash) int {
+	for _, c := range crashes {
+		hosts := map[string]bool{}
+		for _, o := range s.crashes {
+			if !o.aboard[fingerprint] && o.host != c.host && o.at.Sub(c.at).Abs() <= massWindow {
+				hosts[o.host] = true
+			}
+		}
+		if len(hosts) >= massHosts {
+			return 3
+		}
+	}
+	return 2
+}
