Add the pages for users, operators and contributors

Operators need every setting, command, outcome and alarm in one place, and a migration step by step.

Add README, CONTRIBUTING, glossary and operations.

--- /dev/null
+++ b/cmd/mangopath/page_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"encoding/csv"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against commands on the pages that the program does not take as they are written. The daemon that they
+// need is a book in memory behind the real handlers; serve is left out.
+func TestPageCommands(t *testing.T) {
+	book := &memoryBook{}
+	flags := serveBook(t, book)
+	t.Chdir("../..")
+	for _, page := range []string{
+		"README.md", "docs/operations.md", "examples/baasje-gezocht/README.md", "examples/isartal/README.md",
+	} {
+		is := is.New(t)
+		text, err := os.ReadFile(page)
+		is.NoErr(err)
+		commands := regexp.MustCompile("(?m)(?:^ {4,}|`)bin/mangopath ([^`\n]+)").FindAllStringSubmatch(string(text), -1)
+		is.True(len(commands) > 0)
+		for _, c := range commands {
+			if strings.HasPrefix(c[1], "serve ") {
+				continue
+			}
+			words := csv.NewReader(strings.NewReader(c[1]))
+			words.Comma = ' '
+			args, err := words.Read()
+			is.NoErr(err)
+			if status, _, errOut := runWith(t, flags, args...); status != 0 {
+				t.Errorf("%s: %s: status %d: %s", page, c[1], status, errOut)
+			}
+		}
+	}
+}
--- a/internal/mangometric/metrics_test.go
+++ b/internal/mangometric/metrics_test.go
@@ -1,6 +1,8 @@
 package mangometric
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +63,17 @@
 	is.True(errors.As(err, &fault))
 	is.Equal(fault.Kind, KindRegister)
 }
+
+// Guards against metrics without advice on the operators' page.
+func TestOperationsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operations.md")
+	is.NoErr(err)
+	descriptions := make(chan *prometheus.Desc, 1)
+	for _, c := range newMetrics().collectors() {
+		c.Describe(descriptions)
+		_, name, _ := strings.Cut((<-descriptions).String(), `fqName: "`)
+		name, _, _ = strings.Cut(name, `"`)
+		is.True(strings.Contains(string(page), "| `"+name+"` |"))
+	}
+}
