--- a/internal/mangocustomer/lane.go
+++ b/internal/mangocustomer/lane.go
@@ -8,7 +8,7 @@
 const (
 	// serviceShare is the share of a new service time in the estimate.
 	serviceShare = 0.1
-	// spareFlows is the number of flows without calls that are kept before they are looked through.
+	// spareFlows is the number of flows that are kept at least before those without calls are looked for.
 	spareFlows = 64
 )
 
@@ -23,12 +23,13 @@
 	// start is the lane's own tag among lanes, used when the daemon's limit on running calls binds.
 	start   float64
 	flows   map[string]*flow
+	sweepAt int
 	active  flows
 	share   float64
 	service time.Duration
 }
 
-func newLane() *lane { return &lane{weight: 1, flows: map[string]*flow{}} }
+func newLane() *lane { return &lane{weight: 1, flows: map[string]*flow{}, sweepAt: spareFlows} }
 
 // add queues a call in the flow of its customer.
 func (l *lane) add(w *waiter, customer string, weight float64) {
@@ -76,10 +77,10 @@
 func (l *lane) forget() {
 	if l.queued == 0 {
 		l.virtual, l.share = 0, 0
-		l.flows = map[string]*flow{}
+		l.flows, l.sweepAt = map[string]*flow{}, spareFlows
 		return
 	}
-	if len(l.flows) <= 2*len(l.active)+spareFlows {
+	if len(l.flows) <= l.sweepAt {
 		return
 	}
 	for name, f := range l.flows {
@@ -87,6 +88,8 @@
 			delete(l.flows, name)
 		}
 	}
+	// Flows that have to stay put off the next look, so that its cost is spread over as many calls.
+	l.sweepAt = 2*len(l.flows) + spareFlows
 }
 
 // wait estimates the time until a call with this deadline would get a slot.
