Add the change log

Cause: an accepted change must stay in force through lost replies, concurrent operators, crashes and restores of the store. Change: mangochange proposes by compare-and-swap of the head, reads back by change id, polls, compacts to pages with unique keys, repairs a restored store and reports forks.

--- /dev/null
+++ b/internal/mangochange/head.go
@@ -0,0 +1,119 @@
+package mangochange
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/internal/mangostore"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// HeadKey is the key of the head.
+const HeadKey = "Mangopath/Head"
+
+// recentIDs is the number of ids in the head by which a writer finds its change after a lost reply.
+const recentIDs = 256
+
+func pageKey(ref *mangomessage.PageRef) string {
+	return fmt.Sprintf("Mangopath/Page/%02d/%d-%s", ref.GetIndex(), ref.GetRevision(), ref.GetId())
+}
+
+func decodeHead(item mangostore.Item) (*mangomessage.Head, error) {
+	head := &mangomessage.Head{}
+	if err := proto.Unmarshal(item.Value, head); err != nil {
+		return nil, &Error{Op: "Head", Kind: KindCorrupt, Err: errors.WithStack(err)}
+	}
+	if head.GetBaseRevision()+uint64(len(head.GetTail())) != head.GetRevision() {
+		return nil, &Error{Op: "Head", Kind: KindCorrupt, Err: errors.Errorf(
+			"revision %d is not base %d and %d changes", head.GetRevision(), head.GetBaseRevision(), len(head.GetTail()))}
+	}
+	return head, nil
+}
+
+// idAt returns the id of the change at a revision, false when the head no longer has it.
+func idAt(head *mangomessage.Head, revision uint64) (string, bool) {
+	if revision == 0 {
+		return "", true
+	}
+	if revision > head.GetRevision() {
+		return "", false
+	}
+	if base := head.GetBaseRevision(); revision > base {
+		return head.GetTail()[revision-base-1].GetChangeId(), true
+	}
+	ids := head.GetRecentIds()
+	if back := head.GetRevision() - revision; back < uint64(len(ids)) {
+		return ids[uint64(len(ids))-1-back], true
+	}
+	return "", false
+}
+
+// accepted returns the revision at which the change of an id was accepted.
+func accepted(head *mangomessage.Head, book *mangoprofile.Book, entry *mangomessage.Entry) (uint64, bool) {
+	if i := slices.Index(head.GetRecentIds(), entry.GetChangeId()); i >= 0 {
+		return head.GetRevision() - uint64(len(head.GetRecentIds())-1-i), true
+	}
+	for _, e := range head.GetTail() {
+		if e.GetChangeId() == entry.GetChangeId() {
+			return e.GetRevision(), true
+		}
+	}
+	present := book.Entry(mangoprofile.EntryKind(entry), mangoprofile.EntryName(entry))
+	if present.GetChangeId() == entry.GetChangeId() {
+		return present.GetRevision(), true
+	}
+	return 0, false
+}
+
+// reaches reports whether the head knows the ids of all changes after a revision.
+func reaches(head *mangomessage.Head, revision uint64) bool {
+	return head.GetRevision()-revision <= uint64(max(len(head.GetRecentIds()), len(head.GetTail())))
+}
+
+// extend returns the head after an entry, which must be at the next revision.
+func extend(head *mangomessage.Head, entry *mangomessage.Entry) *mangomessage.Head {
+	return &mangomessage.Head{
+		Revision:     entry.GetRevision(),
+		BaseRevision: head.GetBaseRevision(),
+		Pages:        head.GetPages(),
+		Tail:         append(slices.Clip(head.GetTail()), entry),
+		RecentIds:    trim(append(slices.Clip(head.GetRecentIds()), entry.GetChangeId())),
+		Retired:      head.GetRetired(),
+	}
+}
+
+func trim(ids []string) []string { return ids[max(0, len(ids)-recentIDs):] }
+
+func tailBytes(head *mangomessage.Head) int {
+	return proto.Size(&mangomessage.Head{Tail: head.GetTail()})
+}
+
+// checkLineage returns KindFork when the head and the book have different changes at the lower of their revisions.
+func checkLineage(op string, head *mangomessage.Head, book *mangoprofile.Book) error {
+	revision := min(head.GetRevision(), book.Revision())
+	theirs, ok := idAt(head, revision)
+	ours, known := book.IDAt(revision)
+	if ok && known && theirs != ours {
+		return forkError(op, revision, theirs, ours)
+	}
+	for _, e := range head.GetTail() {
+		if e.GetRevision() > revision {
+			break
+		}
+		present := book.Entry(mangoprofile.EntryKind(e), mangoprofile.EntryName(e))
+		if present.GetRevision() < e.GetRevision() ||
+			present.GetRevision() == e.GetRevision() && present.GetChangeId() != e.GetChangeId() {
+			return forkError(op, e.GetRevision(), e.GetChangeId(), present.GetChangeId())
+		}
+	}
+	return nil
+}
+
+func forkError(op string, revision uint64, theirs, ours string) error {
+	return &Error{Op: op, Kind: KindFork, Err: errors.Errorf(
+		"revision %d is change %q in the store and %q in the known book", revision, theirs, ours)}
+}
--- /dev/null
+++ b/internal/mangochange/log_test.go
@@ -0,0 +1,420 @@
+package mangochange_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mangopath.org/mangopath/internal/mangochange"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/internal/mangostore"
+	"mangopath.org/mangopath/internal/mangostorefake"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+func customer(expected uint64, name, id string) *mangomessage.Change {
+	return &mangomessage.Change{ExpectedRevision: expected, Entry: &mangomessage.Entry{
+		ChangeId: id, Content: &mangomessage.Entry_Customer{Customer: &mangomessage.Customer{Name: name}},
+	}}
+}
+
+func kindOf(err error) mangochange.Kind {
+	var e *mangochange.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+func propose(t *testing.T, log *mangochange.Log, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		_, err := log.Propose(t.Context(), customer(0, id, id))
+		is.New(t).NoErr(err)
+	}
+}
+
+// Guards against a second operator who overwrites what the first one wrote without seeing it.
+func TestConflictShowsPresentEntry(t *testing.T) {
+	is := is.New(t)
+	log := mangochange.New(mangostorefake.New())
+	propose(t, log, "ann")
+	_, err := log.Propose(t.Context(), customer(0, "ann", "second"))
+	var e *mangochange.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, mangochange.KindConflict)
+	is.Equal(e.Present.GetChangeId(), "ann")
+}
+
+// Guards against a change that is lost, doubled or misreported when requests or replies of its write are lost.
+func TestLostWrites(t *testing.T) {
+	tests := []struct {
+		name   string
+		inject func(*mangostorefake.Store)
+		want   mangochange.Kind
+	}{
+		{"lost reply", func(s *mangostorefake.Store) { s.LoseReplies(1) }, 0},
+		{"lost request", func(s *mangostorefake.Store) { s.LoseRequests(2) }, 0},
+		{"down", func(s *mangostorefake.Store) { s.SetDown(true) }, mangochange.KindUnavailable},
+		{"lost reply, then down", func(s *mangostorefake.Store) {
+			s.LoseReplies(1)
+			puts := 0
+			s.Before(func(op, _ string) {
+				if op == "Put" {
+					puts++
+				}
+				s.SetDown(puts > 0 && op == "Get")
+			})
+		}, mangochange.KindUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			store := mangostorefake.New()
+			log := mangochange.New(store)
+			propose(t, log, "a")
+			tt.inject(store)
+			_, err := log.Propose(t.Context(), customer(0, "b", "b"))
+			is.Equal(kindOf(err), tt.want)
+			store.Before(nil)
+			store.SetDown(false)
+			revision, err := log.Propose(t.Context(), customer(0, "b", "b"))
+			is.NoErr(err)
+			is.Equal(revision, uint64(2))
+		})
+	}
+}
+
+// Guards against a retry that overwrites a newer value with an older one after its own write was lost.
+func TestRetryDoesNotOverwrite(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	log, other := mangochange.New(store), mangochange.New(store)
+	propose(t, log, "a")
+	store.LoseRequests(1)
+	gets := 0
+	store.Before(func(op, _ string) {
+		if op != "Get" {
+			return
+		}
+		if gets++; gets == 2 {
+			_, err := other.Propose(t.Context(), customer(1, "a", "newer"))
+			is.NoErr(err)
+		}
+	})
+	_, err := log.Propose(t.Context(), customer(1, "a", "older"))
+	is.Equal(kindOf(err), mangochange.KindConflict)
+}
+
+// Guards against a crash between the steps of a compaction, or lost writes in it, that make the log unreadable.
+func TestCompactionCrash(t *testing.T) {
+	for step := 1; step <= 8; step++ {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			is := is.New(t)
+			store := mangostorefake.New()
+			log := mangochange.New(store, mangochange.WithTailLimit(100, 1<<20))
+			propose(t, log, "a", "b", "c")
+			is.NoErr(log.Compact(t.Context()))
+			propose(t, log, "d", "e", "f")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			writes := 0
+			store.Before(func(op, _ string) {
+				if op == "Put" || op == "Delete" {
+					writes++
+				}
+				store.SetDown(writes >= step)
+			})
+			if err := log.Compact(ctx); err != nil {
+				is.Equal(kindOf(err), mangochange.KindUnavailable)
+			}
+			store.Before(nil)
+			store.SetDown(false)
+			book, err := mangochange.New(store).Poll(t.Context(), mangoprofile.New())
+			is.NoErr(err)
+			is.Equal(book.Revision(), uint64(6))
+			is.Equal(len(book.Entries(mangoprofile.EntryCustomer)), 6)
+			propose(t, log, "g")
+			is.NoErr(log.Compact(t.Context()))
+		})
+	}
+}
+
+// Guards against pages that are deleted while a reader of the previous head needs them, or never.
+func TestPagesAreDeletedAfterOneGeneration(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	log := mangochange.New(store)
+	var counts []int
+	for i := range 4 {
+		_, err := log.Propose(t.Context(), customer(uint64(i), "a", fmt.Sprint(i)))
+		is.NoErr(err)
+		is.NoErr(log.Compact(t.Context()))
+		items, err := store.List(t.Context(), "Mangopath/Page/")
+		is.NoErr(err)
+		counts = append(counts, len(items))
+	}
+	is.Equal(counts, []int{1, 2, 2, 2})
+}
+
+// Guards against an accepted change that reverts when the store is restored, and against a daemon that goes back.
+func TestRestoreIsRepaired(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	log := mangochange.New(store)
+	propose(t, log, "a", "b")
+	old := store.Snapshot()
+	propose(t, log, "c", "d")
+	known, err := log.Poll(t.Context(), mangoprofile.New())
+	is.NoErr(err)
+	store.Restore(old)
+	behind := 0
+	for range 8 {
+		book, err := log.Poll(t.Context(), known)
+		is.Equal(book.Revision(), uint64(4))
+		if kindOf(err) == mangochange.KindBehind {
+			behind++
+		}
+	}
+	is.Equal(behind, 1) // one poll of eight reads the head in full
+	is.NoErr(log.Repair(t.Context(), known))
+	fresh, err := mangochange.New(store).Poll(t.Context(), mangoprofile.New())
+	is.NoErr(err)
+	is.Equal(fresh.Revision(), uint64(4))
+	is.Equal(fresh.LastID(), "d")
+}
+
+// Guards against two histories that are mixed: a fork must be reported by Poll and Repair, whichever side is longer.
+func TestFork(t *testing.T) {
+	for extra := range 3 {
+		t.Run(fmt.Sprint(extra), func(t *testing.T) {
+			is := is.New(t)
+			store := mangostorefake.New()
+			log := mangochange.New(store)
+			propose(t, log, "a")
+			old := store.Snapshot()
+			propose(t, log, "b", "c")
+			known, err := log.Poll(t.Context(), mangoprofile.New())
+			is.NoErr(err)
+			store.Restore(old)
+			propose(t, mangochange.New(store), []string{"x", "y", "z"}[:extra+1]...)
+			book, err := mangochange.New(store).Poll(t.Context(), known)
+			is.Equal(kindOf(err), mangochange.KindFork)
+			is.Equal(book.LastID(), "c")
+			is.Equal(kindOf(log.Repair(t.Context(), known)), mangochange.KindFork)
+		})
+	}
+}
+
+// Guards against polls that transfer the head or pages without need.
+func TestPollReadsOnlyWhatItLacks(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	writer, reader := mangochange.New(store), mangochange.New(store)
+	propose(t, writer, "a", "b", "c")
+	is.NoErr(writer.Compact(t.Context()))
+	book, err := reader.Poll(t.Context(), mangoprofile.New())
+	is.NoErr(err)
+	gets := store.Calls("Get")
+	propose(t, writer, "d")
+	gets = store.Calls("Get") - gets
+	is.NoErr(writer.Compact(t.Context()))
+	before := store.Calls("Get")
+	book, err = reader.Poll(t.Context(), book)
+	is.NoErr(err)
+	is.Equal(book.Revision(), uint64(4))
+	is.Equal(store.Calls("Get")-before, 1) // the page of d only
+	is.Equal(gets, 1)                      // a proposal reads the head once
+	_, err = reader.Poll(t.Context(), book)
+	is.NoErr(err)
+	is.Equal(store.Calls("Get")-before, 1)
+}
+
+// Guards against changes that are lost, doubled or out of order among writers that run at once.
+func TestConcurrentWriters(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	var wg sync.WaitGroup
+	results := make([]map[uint64]string, 4)
+	for w := range results {
+		results[w] = map[uint64]string{}
+		wg.Go(func() {
+			log := mangochange.New(store, mangochange.WithTailLimit(5, 1<<20))
+			for i := range 15 {
+				id := fmt.Sprintf("w%d-%d", w, i)
+				revision, err := log.Propose(t.Context(), customer(0, id, id))
+				if err == nil {
+					results[w][revision] = id
+				} else if kindOf(err) != mangochange.KindContention {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	book, err := mangochange.New(store).Poll(t.Context(), mangoprofile.New())
+	is.NoErr(err)
+	total := 0
+	for _, r := range results {
+		for revision, id := range r {
+			is.Equal(book.Entry(mangoprofile.EntryCustomer, id).GetRevision(), revision)
+		}
+		total += len(r)
+	}
+	is.Equal(len(book.Entries(mangoprofile.EntryCustomer)), total)
+	is.Equal(book.Revision(), uint64(total))
+}
+
+// Guards against any difference from a plain list, with competing writers, lost writes, compaction and restores.
+func TestLogAgainstList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{store: mangostorefake.New(), books: make([]*mangoprofile.Book, 3)}
+		for i := range m.books {
+			m.logs = append(m.logs, mangochange.New(m.store, mangochange.WithTailLimit(3, 1<<20),
+				mangochange.WithBackoff(100*time.Microsecond, time.Millisecond)))
+			m.books[i] = mangoprofile.New()
+		}
+		m.saved = m.store.Snapshot()
+		t.Repeat(map[string]func(*rapid.T){
+			"propose": m.propose,
+			"poll":    func(t *rapid.T) { m.poll(t, rapid.IntRange(0, 2).Draw(t, "daemon")) },
+			"save":    func(*rapid.T) { m.saved = m.store.Snapshot() },
+			"restore": m.restore,
+		})
+		for i := range m.books {
+			m.poll(t, i)
+		}
+	})
+}
+
+type model struct {
+	store *mangostorefake.Store
+	saved mangostorefake.Snapshot
+	logs  []*mangochange.Log
+	books []*mangoprofile.Book
+	list  []*mangomessage.Entry
+	next  int
+
+	conflicts []*mangomessage.Change
+}
+
+func (m *model) expected(name string) uint64 {
+	for i, e := range slices.Backward(m.list) {
+		if e.GetCustomer().GetName() == name {
+			return uint64(i + 1)
+		}
+	}
+	return 0
+}
+
+func (m *model) change(t *rapid.T) *mangomessage.Change {
+	m.next++
+	name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+	expected := m.expected(name)
+	if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+		expected += 7
+	}
+	return customer(expected, name, fmt.Sprint("id", m.next))
+}
+
+func (m *model) propose(t *rapid.T) {
+	change, rival := m.change(t), m.change(t)
+	daemon, moment := rapid.IntRange(0, 2).Draw(t, "daemon"), rapid.IntRange(0, 4).Draw(t, "moment")
+	m.store.LoseReplies(rapid.IntRange(0, 2).Draw(t, "lost replies"))
+	m.store.LoseRequests(rapid.IntRange(0, 1).Draw(t, "lost requests"))
+	m.store.Before(func(string, string) {
+		if moment--; moment == 0 {
+			m.submit(t, (daemon+1)%3, rival)
+		}
+	})
+	m.submit(t, daemon, change)
+	for _, c := range m.conflicts {
+		if m.expected(c.GetEntry().GetCustomer().GetName()) == c.GetExpectedRevision() {
+			t.Fatalf("%v was refused without a conflict", c)
+		}
+	}
+	m.conflicts = nil
+	m.store.Before(nil)
+	m.store.LoseReplies(0)
+	m.store.LoseRequests(0)
+}
+
+// submit proposes and records an accepted change at its revision. A conflict is compared with the list once the change
+// around it is recorded, since that one may have taken effect already.
+func (m *model) submit(t *rapid.T, daemon int, change *mangomessage.Change) {
+	revision, err := m.logs[daemon].Propose(context.Background(), change)
+	if kindOf(err) == mangochange.KindConflict {
+		m.conflicts = append(m.conflicts, change)
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for uint64(len(m.list)) < revision {
+		m.list = append(m.list, nil)
+	}
+	if m.list[revision-1] != nil {
+		t.Fatalf("revision %d has two changes", revision)
+	}
+	m.list[revision-1] = change.GetEntry()
+}
+
+func (m *model) poll(t *rapid.T, daemon int) {
+	for range 9 {
+		book, err := m.logs[daemon].Poll(context.Background(), m.books[daemon])
+		if err != nil || book.Revision() < m.books[daemon].Revision() {
+			t.Fatalf("book went from %d to %d: %v", m.books[daemon].Revision(), book.Revision(), err)
+		}
+		m.books[daemon] = book
+	}
+	book := m.books[daemon]
+	if book.Revision() != uint64(len(m.list)) {
+		t.Fatalf("book is at %d, list at %d", book.Revision(), len(m.list))
+	}
+	for _, e := range m.list {
+		name := e.GetCustomer().GetName()
+		got := book.Entry(mangoprofile.EntryCustomer, name)
+		want := m.expected(name)
+		if got.GetRevision() != want || got.GetChangeId() != m.list[want-1].GetChangeId() {
+			t.Fatalf("customer %q is %v, list has revision %d", name, got, want)
+		}
+	}
+}
+
+// restore goes back to the saved state; the daemon with the newest book repairs, as one that finds KindBehind does.
+func (m *model) restore(t *rapid.T) {
+	newest := mangoprofile.New()
+	for i := range m.books {
+		m.poll(t, i)
+		newest = m.books[i]
+	}
+	m.store.Restore(m.saved)
+	if err := m.logs[rapid.IntRange(0, 2).Draw(t, "repairer")].Repair(context.Background(), newest); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a head whose tail outgrows what a value may hold.
+func TestLargeTailIsCompacted(t *testing.T) {
+	is := is.New(t)
+	store := mangostorefake.New()
+	log := mangochange.New(store)
+	for i := range 12 {
+		change := customer(0, fmt.Sprint("c", i), fmt.Sprint(i))
+		change.GetEntry().GetCustomer().Profiles = slices.Repeat([]string{strings.Repeat("p", 120)}, 500)
+		_, err := log.Propose(t.Context(), change)
+		is.NoErr(err)
+	}
+	item, err := store.Get(t.Context(), mangochange.HeadKey)
+	is.NoErr(err)
+	is.True(len(item.Value) < 200<<10)
+	var _ mangochange.Store = mangostore.Backend(store)
+}
--- /dev/null
+++ b/internal/mangochange/repair.go
@@ -0,0 +1,40 @@
+package mangochange
+
+import (
+	"context"
+
+	"mangopath.org/mangopath/internal/mangoprofile"
+)
+
+// Repair writes the known book back when the store's head is behind it, as after a restore of the store, and does
+// nothing otherwise. KindFork means that the store has accepted other changes since; it is left as it is.
+func (l *Log) Repair(ctx context.Context, known *mangoprofile.Book) error {
+	book, err := l.start("Repair", known)
+	if err != nil {
+		return err
+	}
+	for attempt := range attempts {
+		if attempt > 0 && !l.pause(ctx, attempt) {
+			break
+		}
+		err = l.repairOnce(ctx, book)
+		if kind := kindOf(err); kind != KindContention && kind != KindUnknown {
+			return err
+		}
+	}
+	return err
+}
+
+func (l *Log) repairOnce(ctx context.Context, book *mangoprofile.Book) error {
+	s, err := l.readHead(ctx, "Repair")
+	if err != nil {
+		return err
+	}
+	if err := checkLineage("Repair", s.head, book); err != nil {
+		return err
+	}
+	if s.head.GetRevision() >= book.Revision() {
+		return nil
+	}
+	return l.rebase(ctx, "Repair", s, book)
+}
--- a/internal/mangoprofile/book.go
+++ b/internal/mangoprofile/book.go
@@ -132,6 +132,11 @@
 	return slices.Clip(b.recent[uint64(len(b.recent))-n:]), true
 }
 
+// Recent returns the latest entries in order, at most n and fewer when the book does not keep them.
+func (b *Book) Recent(n int) []*mangomessage.Entry {
+	return slices.Clip(b.recent[max(0, len(b.recent)-n):])
+}
+
 // IDAt returns the id of the change at a revision, false when the book no longer knows it.
 func (b *Book) IDAt(revision uint64) (string, bool) {
 	switch {
