Choose chains for suspects apart and share limits with peers

Cause: a request that crashes upstreams must be told from the calls beside it, on all entry hosts. Change: mangocontrol runs suspects on replicas without another suspect, passes suspicions and usage to peers and repairs a store that is behind; mangoadmission clears suspects that completed.

--- a/internal/mangoadmission/admission.go
+++ b/internal/mangoadmission/admission.go
@@ -13,6 +13,7 @@
 	"mangopath.org/mangopath/internal/mangocustomer"
 	"mangopath.org/mangopath/internal/mangodispatch"
 	"mangopath.org/mangopath/internal/mangogateway"
+	"mangopath.org/mangopath/internal/mangosuspect"
 	"mangopath.org/mangopath/internal/mangoupstream"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -33,26 +34,17 @@
 	Acquire(ctx context.Context, request mangocustomer.Request) (func(), error)
 }
 
-// Limiter bounds the rate of a customer across all entry hosts; it returns the time to wait when the rate is used up.
+// Limiter bounds the rate of a customer across all entry hosts; the error says when to try again.
 type Limiter interface {
-	Allow(customer *mangomessage.Customer, now time.Time) (time.Duration, bool)
+	Allow(customer *mangomessage.Customer, now time.Time) error
 }
 
 // Suspects knows the requests that crashed upstreams.
 type Suspects interface {
-	Check(fingerprint string, now time.Time) Verdict
+	Check(fingerprint string, now time.Time) mangosuspect.Verdict
+	Complete(fingerprint string, now time.Time)
 }
 
-// Verdict says what may be done with a request.
-type Verdict int
-
-// Verdicts on a request.
-const (
-	Clear Verdict = iota + 1
-	Suspect
-	Condemned
-)
-
 // Driver runs completions.
 type Driver interface {
 	Run(ctx context.Context, call mangocall.Call, sink mangocall.Sink) (mangocall.Result, error)
@@ -114,7 +106,7 @@
 	}
 	call := mangocall.Call{
 		ID: c.ID, Customer: c.Customer, Profile: profile, Name: c.Name, Prompt: c.Prompt, MaxTokens: maxTokens(profile, c.MaxTokens),
-		Deadline: deadline(profile, c.Request), Fingerprint: fingerprint, Suspect: verdict == Suspect,
+		Deadline: deadline(profile, c.Request), Fingerprint: fingerprint, Suspect: verdict == mangosuspect.Suspect,
 	}
 	release, err := a.queue.Acquire(ctx, mangocustomer.Request{
 		Customer: c.Customer, Weight: customer.Weight, Profile: mangocontrol.Pool(profile),
@@ -124,7 +116,11 @@
 		return mangocall.Result{}, err
 	}
 	defer release()
-	return a.driver.Run(ctx, call, sink)
+	result, err := a.driver.Run(ctx, call, sink)
+	if err == nil && a.suspects != nil {
+		a.suspects.Complete(fingerprint, time.Now())
+	}
+	return result, err
 }
 
 // Call implements mangogateway.Caller.
@@ -161,25 +157,19 @@
 	if customer == nil || !allowed(customer, r.Name, profile.Name) {
 		return nil, nil, reject(mangocall.KindUnauthorised, errors.Errorf("customer %q may not call %q", r.Customer, r.Name))
 	}
-	if a.limiter == nil {
-		return profile, customer, nil
-	}
-	if wait, ok := a.limiter.Allow(customer, time.Now()); !ok {
-		return nil, nil, &mangocall.Error{
-			Op: "admit", Kind: mangocall.KindLimit, Outcome: mangocall.NotRun, RetryAfter: wait,
-			Err: errors.Errorf("customer %q exceeds %d calls per second", customer.Name, customer.RatePerSecond),
-		}
+	if a.limiter != nil {
+		err = a.limiter.Allow(customer, time.Now())
 	}
-	return profile, customer, nil
+	return profile, customer, err
 }
 
 // verdict refuses a request that crashed upstreams.
-func (a *Admission) verdict(fingerprint string) (Verdict, error) {
+func (a *Admission) verdict(fingerprint string) (mangosuspect.Verdict, error) {
 	if a.suspects == nil {
-		return Clear, nil
+		return mangosuspect.Clear, nil
 	}
 	v := a.suspects.Check(fingerprint, time.Now())
-	if v == Condemned {
+	if v == mangosuspect.Condemned {
 		a.logger.WithFields(logrus.Fields{"event": "quarantined", "fingerprint": fingerprint}).Warn("request refused")
 		return v, reject(mangocall.KindQuarantine, errors.New("the request crashed upstreams"))
 	}
--- a/internal/mangochain/view.go
+++ b/internal/mangochain/view.go
@@ -54,10 +54,11 @@
 
 // Request is what a choice depends on besides the view.
 type Request struct {
-	// Call and Customer are for the decision log only.
-	Call     string
-	Customer string
-	Profile  *mangomessage.Profile
+	// Call and Customer are for the decision log only; Fingerprint identifies suspects of crashing upstreams.
+	Call        string
+	Customer    string
+	Fingerprint string
+	Profile     *mangomessage.Profile
 	// PrefixDigest identifies the prompt prefix; empty means no preference.
 	PrefixDigest string
 	// Tokens is the expected number of steps.
--- a/internal/mangocontrol/choose.go
+++ b/internal/mangocontrol/choose.go
@@ -13,11 +13,20 @@
 	"mangopath.org/mangopath/internal/mangochain"
 	"mangopath.org/mangopath/internal/mangodispatch"
 	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangosuspect"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
 // Choose chooses a chain on the present snapshot, logs the decision and counts it as in flight until released.
-func (c *Controller) Choose(_ context.Context, request mangochain.Request, _ bool) (mangocall.Assignment, error) {
+// A request that may crash upstreams gets replicas that run no other suspect, and waits for them.
+func (c *Controller) Choose(ctx context.Context, request mangochain.Request, _ bool) (mangocall.Assignment, error) {
+	if c.suspects != nil && c.suspects.Check(request.Fingerprint, c.now()) != mangosuspect.Clear {
+		return c.chooseApart(ctx, request)
+	}
+	return c.choose(request)
+}
+
+func (c *Controller) choose(request mangochain.Request) (mangocall.Assignment, error) {
 	s := c.Snapshot()
 	request.InFlight = c.meter.InFlight
 	request.Seed = rand.Uint64()
@@ -34,14 +43,11 @@
 	for _, stage := range chain.Stages {
 		c.meter.Add(stage.Replica.Host, 1)
 	}
-	var once sync.Once
-	return mangocall.Assignment{Chain: chain, Release: func() {
-		once.Do(func() {
-			for _, stage := range chain.Stages {
-				c.meter.Add(stage.Replica.Host, -1)
-			}
-		})
-	}}, nil
+	return mangocall.Assignment{Chain: chain, Release: sync.OnceFunc(func() {
+		for _, stage := range chain.Stages {
+			c.meter.Add(stage.Replica.Host, -1)
+		}
+	})}, nil
 }
 
 func (c *Controller) logChoice(s *Snapshot, request mangochain.Request, chain mangochain.Chain) {
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -10,6 +10,7 @@
 	"mangopath.org/mangopath/internal/mangochain"
 	"mangopath.org/mangopath/internal/mangohost"
 	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/internal/mangosuspect"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -58,16 +59,22 @@
 	State(ctx context.Context, address string) (*mangomessage.EngineState, error)
 }
 
-// Suspects shares which requests are suspected of crashing upstreams.
+// Suspects knows the requests that may crash upstreams and shares that with peers.
 type Suspects interface {
-	Suspicions(now time.Time) []*mangomessage.Suspicion
+	Check(fingerprint string, now time.Time) mangosuspect.Verdict
+	Hosts(fingerprint string, candidates []string, now time.Time) []string
+	Acquire(fingerprint, host string, now time.Time) bool
+	Release(fingerprint, host string)
+	Report(crashID string, fingerprints []string, now time.Time)
+	News(after uint64, now time.Time) ([]*mangomessage.Suspicion, uint64)
 	Merge(suspicions []*mangomessage.Suspicion, now time.Time)
+	SetDaemons(names []string)
 }
 
 // Limits shares the rates at which customers are admitted.
 type Limits interface {
 	Usages(now time.Time) []*mangomessage.Usage
-	MergeUsages(daemon string, usages []*mangomessage.Usage, now time.Time)
+	Observe(peer string, usages []*mangomessage.Usage, now time.Time)
 	SetDaemons(n int)
 }
 
@@ -127,6 +134,7 @@
 	dropped  atomic.Uint64
 	snapshot atomic.Pointer[Snapshot]
 	confirms confirmer
+	cursors  cursors
 	now      func() time.Time
 }
 
@@ -199,6 +207,7 @@
 		case <-tick.C:
 			s.expire(c.now())
 			s.dirty = true
+			c.shareDaemons(s)
 		}
 		if s.dirty {
 			c.publish(s)
@@ -206,6 +215,22 @@
 	}
 }
 
+// shareDaemons tells the parts that divide work among the live daemons who they are.
+func (c *Controller) shareDaemons(s *state) {
+	live := s.liveMembers(c.now())
+	if c.limits != nil {
+		c.limits.SetDaemons(len(live) + 1)
+	}
+	if c.suspects == nil {
+		return
+	}
+	names := make([]string, 0, len(live)+1)
+	for _, m := range live {
+		names = append(names, m.Name)
+	}
+	c.suspects.SetDaemons(append(names, c.identity.Name))
+}
+
 // observe hands a change to the control goroutine without waiting; it is dropped and counted when the queue is full.
 func (c *Controller) observe(f func(*state)) {
 	select {
--- a/internal/mangocontrol/exchange.go
+++ b/internal/mangocontrol/exchange.go
@@ -84,10 +84,16 @@
 	defer cancel()
 	start := c.now()
 	snapshot := c.Snapshot()
-	reply, err := c.peers.Exchange(ctx, address, c.request(snapshot, address))
+	request := c.request(snapshot, address)
+	var told uint64
+	if c.suspects != nil {
+		request.Suspicions, told = c.suspects.News(c.cursors.get(address), start)
+	}
+	reply, err := c.peers.Exchange(ctx, address, request)
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "exchange_failed", "peer": address}).WithError(err).Debug("peer not reached")
 		return
 	}
-	c.learn(ctx, address, knowledge(reply), start)
+	c.cursors.set(address, told)
+	c.learn(ctx, address, reply, start)
 }
--- a/internal/mangocontrol/learn.go
+++ b/internal/mangocontrol/learn.go
@@ -36,7 +36,7 @@
 		c.suspects.Merge(k.GetSuspicions(), now)
 	}
 	if c.limits != nil {
-		c.limits.MergeUsages(k.GetFrom().GetName(), k.GetUsages(), now)
+		c.limits.Observe(k.GetFrom().GetName(), k.GetUsages(), now)
 	}
 	_ = c.apply(ctx, func(s *state) { c.learnState(s, k, now) })
 	c.learnBook(ctx, address, k, start)
--- a/internal/mangocontrol/message.go
+++ b/internal/mangocontrol/message.go
@@ -1,6 +1,7 @@
 package mangocontrol
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -20,9 +21,6 @@
 		From: c.self(), Revision: s.Book.Revision(), ConfirmedAgeMs: confirmedAge(s, now),
 		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
 	}
-	if c.suspects != nil {
-		request.Suspicions = c.suspects.Suspicions(now)
-	}
 	if c.limits != nil {
 		request.Usages = c.limits.Usages(now)
 	}
@@ -40,7 +38,11 @@
 		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
 	}
 	if c.suspects != nil {
-		reply.Suspicions = c.suspects.Suspicions(now)
+		// A restarted peer knows nothing, so its incarnation is part of the name of its cursor.
+		peer := fmt.Sprintf("%s#%d", request.GetFrom().GetName(), request.GetFrom().GetIncarnation())
+		var next uint64
+		reply.Suspicions, next = c.suspects.News(c.cursors.get(peer), now)
+		c.cursors.set(peer, next)
 	}
 	if c.limits != nil {
 		reply.Usages = c.limits.Usages(now)
--- a/internal/mangocontrol/poll.go
+++ b/internal/mangocontrol/poll.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangochange"
 )
 
 // pause waits for about d, give or take a fifth so that daemons do not poll in step, and returns false at the end.
@@ -37,6 +40,10 @@
 	start := c.now()
 	known := c.Snapshot().Book
 	book, err := c.log.Poll(ctx, known)
+	if kindOf(err) == mangochange.KindBehind {
+		c.repair(ctx)
+		return true
+	}
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "poll_failed", "revision": known.Revision()}).WithError(err).Warn("change log not read")
 		return false
@@ -45,7 +52,15 @@
 	return true
 }
 
-// repairAfter writes the known book back when the store lost accepted changes.
+func kindOf(err error) mangochange.Kind {
+	var known *mangochange.Error
+	if errors.As(err, &known) {
+		return known.Kind
+	}
+	return 0
+}
+
+// repair writes the known book back when the store lost accepted changes.
 func (c *Controller) repair(ctx context.Context) {
 	known := c.Snapshot().Book
 	if err := c.log.Repair(ctx, known); err != nil {
--- a/internal/mangocontrol/slots.go
+++ b/internal/mangocontrol/slots.go
@@ -13,6 +13,9 @@
 // slotInterval is the time between changes of the slots.
 const slotInterval = 250 * time.Millisecond
 
+// overcommit covers the time that calls spend on links and in the router rather than in a batch.
+const overcommit = 1.2
+
 // Slots receives the number of calls of each pool that this daemon may run at once.
 type Slots interface {
 	SetSlots(pool string, n int)
@@ -61,8 +64,8 @@
 
 func (c *Controller) poolSlots(s *Snapshot, profile *mangomessage.Profile) int {
 	view := s.View(profile)
-	total := mangochain.Concurrency(view, profile)
-	if total == 0 {
+	flow := mangochain.Capacity(view, profile)
+	if flow == 0 {
 		return 0
 	}
 	own, peers, layers := 0, 0, 0
@@ -73,7 +76,11 @@
 		layers += size
 	}
 	// A call occupies one replica for each part of the model, so calls in flight weighted by layers count each call once.
-	own, peers = own/int(max(profile.Layers, 1)), peers/int(max(profile.Layers, 1))
+	model := int(max(profile.Layers, 1))
+	own, peers = own/model, peers/model
+	// A call waits at one stage at a time, so that a batch at every stage needs as many calls as there are stages.
+	stages := max(1, (model*len(view.Replicas)+layers-1)/max(layers, 1))
+	total := int(float64(flow*stages) * overcommit)
 	idle := max(total-own-peers, 0)
 	return max(total/s.Daemons, own+idle/s.Daemons, 1)
 }
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
