Accept any count for a prefill and choose a replica of one range

Cause: only engines know how a prompt splits, so the first prefill step has no count; a stage that moves needs one replica of its range; engines compare adapters exactly. Change: results match a step without a count by its other fields; Request.FromLayer and ToLayer ask for one range; replicas must have exactly the profile's adapters. Result: go test -race passes for mangoupstream.

--- a/internal/mangochain/choose.go
+++ b/internal/mangochain/choose.go
@@ -17,17 +17,17 @@
 
 // Choose returns a chain for a request. The error is KindNoChain when usable replicas do not cover all layers.
 func Choose(view View, request Request) (Chain, error) {
-	layers := request.Profile.GetLayers()
-	if layers == 0 {
+	start, end := request.bounds()
+	if end == 0 {
 		return Chain{}, &Error{Op: "Choose", Kind: KindInvalid, Err: fmt.Errorf("profile %q has no layers", request.Profile.GetName())}
 	}
 	g := newGraph(&view, &request)
-	if _, ok := g.rest[0]; !ok {
+	if _, ok := g.rest[start]; !ok {
 		return Chain{}, &Error{Op: "Choose", Kind: KindNoChain, Err: fmt.Errorf("profile %q", request.Profile.GetName())}
 	}
 	random := rand.New(rand.NewPCG(request.Seed, xxhash.Sum64String(view.Local)))
 	chain := Chain{Reason: "Cheapest"}
-	for at := uint32(0); at < layers; {
+	for at := start; at < end; {
 		e, reason := g.pick(at, &view, &request, random)
 		chain.Stages = append(chain.Stages, Stage{Replica: *e.replica, Cost: e.price.time})
 		chain.Cost += e.price.time
--- a/internal/mangochain/eligible.go
+++ b/internal/mangochain/eligible.go
@@ -22,7 +22,7 @@
 func serves(r *Replica, p *mangomessage.Profile) bool {
 	return r.Model == p.GetModel() && r.Version == p.GetVersion() && !r.Leaving &&
 		r.FromLayer < r.ToLayer && r.ToLayer <= p.GetLayers() &&
-		includes(r.Adapters, p.GetAdapters()) && placed(r, p.GetPlaces())
+		includes(r.Adapters, p.GetAdapters()) && includes(p.GetAdapters(), r.Adapters) && placed(r, p.GetPlaces())
 }
 
 func includes(have, want []string) bool {
--- a/internal/mangochain/graph.go
+++ b/internal/mangochain/graph.go
@@ -50,10 +50,10 @@
 	bySpan := map[span]*group{}
 	for i := range view.Replicas {
 		r := &view.Replicas[i]
-		if !serves(r, request.Profile) || request.Exclude[r.Host] {
+		key := span{from: r.FromLayer, to: r.ToLayer}
+		if !serves(r, request.Profile) || request.Exclude[r.Host] || !request.asksFor(key) {
 			continue
 		}
-		key := span{from: r.FromLayer, to: r.ToLayer}
 		g := bySpan[key]
 		if g == nil {
 			g = &group{span: key}
@@ -68,10 +68,23 @@
 	for _, groups := range built.groups {
 		slices.SortFunc(groups, func(a, b *group) int { return int(a.span.to) - int(b.span.to) })
 	}
-	built.solve(request.Profile.GetLayers())
+	_, end := request.bounds()
+	built.solve(end)
 	return built
 }
 
+// bounds returns the layer boundaries between which the chain runs.
+func (r *Request) bounds() (from, to uint32) {
+	if r.ToLayer > 0 {
+		return r.FromLayer, r.ToLayer
+	}
+	return 0, r.Profile.GetLayers()
+}
+
+func (r *Request) asksFor(key span) bool {
+	return r.ToLayer == 0 || key == span{from: r.FromLayer, to: r.ToLayer}
+}
+
 func newEdge(view *View, request *Request, r *Replica) edge {
 	own := 0
 	if request.InFlight != nil {
--- a/internal/mangochain/view.go
+++ b/internal/mangochain/view.go
@@ -57,6 +57,9 @@
 	Profile *mangomessage.Profile
 	// PrefixDigest identifies the prompt prefix; empty means no preference.
 	PrefixDigest string
+	// FromLayer and ToLayer ask for one replica of exactly this range when ToLayer is above 0, to move a stage.
+	FromLayer uint32
+	ToLayer   uint32
 	// Tokens is the expected number of steps.
 	Tokens int
 	// Deadline is the time left for the whole answer.
--- a/internal/mangoupstream/stream.go
+++ b/internal/mangoupstream/stream.go
@@ -108,11 +108,12 @@
 	return true
 }
 
+// matches accepts any count for a step without one, since only engines know how a prompt splits.
 func matches(step *mangomessage.Step, result *mangomessage.StepResult) bool {
 	return result.GetCall() == step.GetCall() &&
 		result.GetAttempt() == step.GetAttempt() &&
 		result.GetPosition() == step.GetPosition() &&
-		result.GetCount() == step.GetCount() &&
+		(step.GetCount() == 0 || result.GetCount() == step.GetCount()) &&
 		result.GetFromLayer() == step.GetFromLayer() &&
 		result.GetToLayer() == step.GetToLayer() &&
 		result.GetVersion() == step.GetVersion()
