--- a/internal/mangocontrol/learn.go
+++ b/internal/mangocontrol/learn.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangoprofile"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -108,20 +109,13 @@
 
 // advance returns the book at the peer's revision, or nil when the peer sent no changes and cannot be asked.
 func (c *Controller) advance(ctx context.Context, address string, book *mangoprofile.Book, k knowledge) (*mangoprofile.Book, error) {
-	if k.GetChangesFrom() <= book.Revision() && len(k.GetChanges()) > 0 {
-		return book.With(newer(k.GetChanges(), book.Revision())...)
+	if len(k.GetChanges()) > 0 && k.GetChangesFrom() <= book.Revision() {
+		return mangopeer.Apply(book, k.GetChangesFrom(), k.GetChanges())
 	}
 	if address == "" {
 		return nil, nil
 	}
-	return c.fetch(ctx, address, k.GetRevision())
-}
-
-func newer(entries []*mangomessage.Entry, revision uint64) []*mangomessage.Entry {
-	for i, e := range entries {
-		if e.Revision > revision {
-			return entries[i:]
-		}
-	}
-	return nil
+	return mangopeer.FetchBook(ctx, book, func(ctx context.Context, r *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
+		return c.peers.Fetch(ctx, address, r)
+	})
 }
--- a/internal/mangocontrol/message.go
+++ b/internal/mangocontrol/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangopath.org/mangopath/internal/mangohost"
+	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -104,7 +105,7 @@
 }
 
 func changesSince(s *Snapshot, revision uint64) ([]*mangomessage.Entry, uint64) {
-	changes, ok := s.Book.Since(revision)
+	changes, ok := mangopeer.Delta(s.Book, revision)
 	if !ok {
 		return nil, 0
 	}
--- /dev/null
+++ b/internal/mangocontrol/report.go
@@ -0,0 +1,106 @@
+package mangocontrol
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangochain"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Entries returns the entries of a kind, removed ones included, or all for an empty kind.
+func (c *Controller) Entries(kind string) *mangomessage.EntryList {
+	book := c.Snapshot().Book
+	list := &mangomessage.EntryList{Revision: book.Revision()}
+	kinds := []string{kind}
+	if kind == "" {
+		kinds = []string{"Profile", "Alias", "Customer", "HostMark"}
+	}
+	for _, k := range kinds {
+		list.Entries = append(list.Entries, book.Entries(k)...)
+	}
+	return list
+}
+
+// Hosts returns the host directory for operators.
+func (c *Controller) Hosts() []*mangomessage.HostReport {
+	s := c.Snapshot()
+	hosts := s.Directory.Hosts("")
+	reports := make([]*mangomessage.HostReport, 0, len(hosts))
+	for _, h := range hosts {
+		r := &mangomessage.HostReport{
+			Name: h.Name, Role: h.Role, DataCentre: h.DataCentre, Address: h.Address, Kind: h.Kind,
+			State: h.State(s.At).String(), InFlight: uint32(max(c.meter.InFlight(h.Name), 0)),
+		}
+		if reason := h.Reason(s.At); reason != "" {
+			r.Reasons = []string{reason}
+		}
+		if e := h.Engine; e != nil {
+			r.Model, r.Version, r.FromLayer, r.ToLayer = e.Model, e.Version, e.FromLayer, e.ToLayer
+			r.Running, r.Waiting = e.Running, e.Waiting
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// Explain returns the chain that a request would take now, with its costs.
+func (c *Controller) Explain(ctx context.Context, request *mangomessage.ExplainRequest) (*mangomessage.ExplainReply, error) {
+	profile, err := c.Resolve(ctx, request.Profile)
+	if err != nil {
+		return nil, err
+	}
+	s := c.Snapshot()
+	reply := &mangomessage.ExplainReply{Profile: profile.Name, Revision: s.Book.Revision()}
+	if profile.Kind == KindService {
+		reply.Reason = c.explainService(profile)
+		return reply, nil
+	}
+	chain, err := mangochain.Choose(s.View(profile), mangochain.Request{Profile: profile, InFlight: c.meter.InFlight, Deadline: time.Minute})
+	if err != nil {
+		reply.Reason = err.Error()
+		return reply, nil
+	}
+	explained := &mangomessage.ExplainedChain{CostMicros: uint64(chain.Cost.Microseconds()), Chosen: true, Reason: chain.Reason}
+	for _, stage := range chain.Stages {
+		explained.Stages = append(explained.Stages, &mangomessage.ExplainedStage{
+			Host: stage.Replica.Host, DataCentre: stage.Replica.DataCentre, FromLayer: stage.Replica.FromLayer,
+			ToLayer: stage.Replica.ToLayer, CostMicros: uint64(stage.Cost.Microseconds()),
+		})
+	}
+	reply.Chains = []*mangomessage.ExplainedChain{explained}
+	return reply, nil
+}
+
+// explainService names the replicas among which calls are spread; empty means that there is one.
+func (c *Controller) explainService(profile *mangomessage.Profile) string {
+	usable := c.Usable(profile)
+	if len(usable) == 0 {
+		return "no replica of the service is usable"
+	}
+	names := make([]string, len(usable))
+	for i, r := range usable {
+		names[i] = r.Host
+	}
+	return "calls go to the less loaded of two random replicas of " + strings.Join(names, ", ")
+}
+
+// Status returns what this entry host knows about its control state.
+func (c *Controller) Status() *mangomessage.OperatorStatus {
+	s := c.Snapshot()
+	status := &mangomessage.OperatorStatus{
+		Host: c.identity.Name, DataCentre: c.identity.DataCentre, Revision: s.Book.Revision(),
+		ConfirmedAgeMs: uint64(confirmedAge(s, c.now())), Unconfirmed: !c.Fresh(), Peers: membersOf(s, c.now()),
+	}
+	c.meter.Shares(func(_ string, n int) { status.InFlight += uint32(n) })
+	return status
+}
+
+// Known reports whether this daemon has a configuration to serve by: one that was ever confirmed, even if empty, or
+// one that a peer gave.
+func (c *Controller) Known() bool {
+	s := c.Snapshot()
+	return s.Book.Revision() > 0 || !s.ConfirmedAt.IsZero()
+}
+
--- a/internal/mangocontrol/serve.go
+++ b/internal/mangocontrol/serve.go
@@ -38,23 +38,6 @@
 	return reply, nil
 }
 
-// fetch reads all pages of a peer's book at one revision; nil means that it changed meanwhile.
-func (c *Controller) fetch(ctx context.Context, address string, revision uint64) (*mangoprofile.Book, error) {
-	pages := make(map[int][]*mangomessage.Entry, mangoprofile.Pages)
-	for i := range mangoprofile.Pages {
-		reply, err := c.peers.Fetch(ctx, address, &mangomessage.FetchRequest{Page: uint32(i)})
-		if err != nil {
-			return nil, err
-		}
-		if reply.Revision != revision {
-			c.pull(address)
-			return nil, nil
-		}
-		pages[i] = reply.Entries
-	}
-	return mangoprofile.New().WithPages(revision, pages)
-}
-
 // takeBook takes over a book that was read from the store at a time and repairs the store when it is behind.
 func (c *Controller) takeBook(ctx context.Context, book *mangoprofile.Book, at time.Time) {
 	_ = c.apply(ctx, func(s *state) {
