Add the exchange between daemons

Cause: daemons repair each other's book, share members and ages, and must do so over connections that may hang. A connection that missed a deadline is closed and dialled again. Mutual TLS has no test yet.

--- /dev/null
+++ b/internal/mangopeer/peer_test.go
@@ -0,0 +1,216 @@
+package mangopeer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func kindOf(err error) mangopeer.Kind {
+	var e *mangopeer.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+type handler struct{ hang atomic.Bool }
+
+func (h *handler) Exchange(ctx context.Context, r *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
+	if h.hang.Load() {
+		<-ctx.Done()
+	}
+	return &mangomessage.ExchangeReply{Revision: r.GetRevision() + 1}, nil
+}
+
+func (h *handler) Fetch(context.Context, *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
+	return nil, errors.New("refused")
+}
+
+func (h *handler) Status(context.Context, *mangomessage.StatusRequest) (*mangomessage.StatusReply, error) {
+	return &mangomessage.StatusReply{State: "Running"}, nil
+}
+
+// countingListener counts accepted connections.
+type countingListener struct {
+	net.Listener
+	count atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.count.Add(1)
+	}
+	return conn, err
+}
+
+func serve(t *testing.T, h mangopeer.Handler, opts ...mangopeer.ServerOption) *countingListener {
+	t.Helper()
+	is := is.New(t)
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := &countingListener{Listener: inner}
+	server, err := mangopeer.NewServer(h, mangopeer.SharedKey([]byte("key")), opts...)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-done)
+	})
+	return listener
+}
+
+func connect(t *testing.T, key string) *mangopeer.Client {
+	t.Helper()
+	client := mangopeer.NewClient(mangopeer.SharedKey([]byte(key)), mangopeer.WithCallTimeout(200*time.Millisecond))
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a connection per call, one that is used again after a missed deadline, and one that is dropped after
+// an answer.
+func TestConnectionUse(t *testing.T) {
+	is := is.New(t)
+	h := &handler{}
+	listener := serve(t, h)
+	address := listener.Addr().String()
+	client := connect(t, "key")
+	for i := range uint64(3) {
+		reply, err := client.Exchange(t.Context(), address, &mangomessage.ExchangeRequest{Revision: i})
+		is.NoErr(err)
+		is.Equal(reply.GetRevision(), i+1)
+	}
+	_, err := client.Fetch(t.Context(), address, &mangomessage.FetchRequest{})
+	is.Equal(kindOf(err), mangopeer.KindRemote)
+	status, err := client.Status(t.Context(), address, &mangomessage.StatusRequest{})
+	is.NoErr(err)
+	is.Equal(status.GetState(), "Running")
+	is.Equal(listener.count.Load(), int64(1))
+	h.hang.Store(true)
+	_, err = client.Exchange(t.Context(), address, &mangomessage.ExchangeRequest{})
+	is.Equal(kindOf(err), mangopeer.KindTimeout)
+	h.hang.Store(false)
+	_, err = client.Exchange(t.Context(), address, &mangomessage.ExchangeRequest{})
+	is.NoErr(err)
+	is.Equal(listener.count.Load(), int64(2))
+}
+
+// Guards against peers that are accepted without the key, and against silent or surplus connections that stay.
+func TestDenied(t *testing.T) {
+	is := is.New(t)
+	listener := serve(t, &handler{}, mangopeer.WithMaxConnections(1), mangopeer.WithHandshakeTimeout(50*time.Millisecond))
+	address := listener.Addr().String()
+	_, err := connect(t, "other").Exchange(t.Context(), address, &mangomessage.ExchangeRequest{})
+	is.Equal(kindOf(err), mangopeer.KindDenied)
+	for range 2 {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+		is.NoErr(err)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = conn.Read(make([]byte, 1))
+		var timeout net.Error
+		is.True(err != nil && (!errors.As(err, &timeout) || !timeout.Timeout())) // the server closed it
+		is.NoErr(conn.Close())
+	}
+}
+
+func member(name string, incarnation uint64, age uint32, leaving bool) *mangomessage.Member {
+	return &mangomessage.Member{Name: name, Incarnation: incarnation, AgeMs: age, Leaving: leaving}
+}
+
+// Guards against members that come back to life, lose their leaving mark or stay after their death.
+func TestMergeMembers(t *testing.T) {
+	tests := []struct {
+		name        string
+		a, b        *mangomessage.Member
+		incarnation uint64
+		age         uint32
+		leaving     bool
+		gone        bool
+	}{
+		{"higher incarnation", member("a", 2, 900, false), member("a", 1, 1, true), 2, 900, false, false},
+		{"lower age", member("a", 1, 900, false), member("a", 1, 5, false), 1, 5, false, false},
+		{"leaving is sticky", member("a", 1, 900, true), member("a", 1, 5, false), 1, 5, true, false},
+		{"unseen", member("a", 1, 30000, false), member("a", 1, 40000, false), 0, 0, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, order := range [][]*mangomessage.Member{{tt.a, tt.b}, {tt.b, tt.a}} {
+				got := mangopeer.MergeMembers(order[:1], order[1:])
+				is.Equal(len(got) == 0, tt.gone)
+				if !tt.gone {
+					is.Equal(got[0].GetIncarnation(), tt.incarnation)
+					is.Equal(got[0].GetAgeMs(), tt.age)
+					is.Equal(got[0].GetLeaving(), tt.leaving)
+				}
+			}
+		})
+	}
+	is := is.New(t)
+	is.Equal(len(mangopeer.AgeMembers([]*mangomessage.Member{member("a", 1, 29000, false)}, time.Second)), 0)
+	is.Equal(len(mangopeer.Pick(rand.New(rand.NewPCG(1, 1)), []*mangomessage.Member{member("a", 1, 0, false), member("b", 1, 0, false)}, "a", 3)), 1)
+	now := time.Now()
+	is.Equal(mangopeer.ConfirmedAge(now, now.Add(time.Second), 500), 1500*time.Millisecond)
+}
+
+func customers(t *testing.T, n int) *mangoprofile.Book {
+	t.Helper()
+	book := mangoprofile.New()
+	for i := range n {
+		next, err := book.With(&mangomessage.Entry{
+			Revision: uint64(i + 1), ChangeId: fmt.Sprint("c", i+1),
+			Content: &mangomessage.Entry_Customer{Customer: &mangomessage.Customer{Name: fmt.Sprint("n", i)}},
+		})
+		is.New(t).NoErr(err)
+		book = next
+	}
+	return book
+}
+
+// Guards against books of two daemons that differ after a delta or a fetch, and against a mix of two histories.
+func TestDeltaAndFetch(t *testing.T) {
+	is := is.New(t)
+	book, behind := customers(t, 1500), customers(t, 1000)
+	changes, ok := mangopeer.Delta(book, 1000)
+	is.True(ok)
+	next, err := mangopeer.Apply(behind, 1000, changes)
+	is.NoErr(err)
+	is.Equal(next.LastID(), book.LastID())
+	_, ok = mangopeer.Delta(book, 3)
+	is.True(!ok)
+	_, err = mangopeer.Apply(customers(t, 3), 1000, changes)
+	is.Equal(kindOf(err), mangopeer.KindGap)
+	_, err = mangopeer.Apply(behind, 999, []*mangomessage.Entry{{Revision: 1000, ChangeId: "x"}})
+	is.Equal(kindOf(err), mangopeer.KindFork)
+	calls := 0
+	fetched, err := mangopeer.FetchBook(t.Context(), mangoprofile.New(),
+		func(_ context.Context, r *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
+			source := book
+			if calls++; calls < 10 {
+				source = behind
+			}
+			return &mangomessage.FetchReply{
+				Revision: source.Revision(), Pages: mangoprofile.Pages, Entries: source.Page(int(r.GetPage())),
+			}, nil
+		})
+	is.NoErr(err)
+	is.Equal(fetched.Revision(), uint64(1500))
+	is.Equal(len(fetched.Entries(mangoprofile.EntryCustomer)), 1500)
+}
