Assemble the entry host with wire and propose several changes at once

Cause: the parts had no common start and stop; a profiles file has to be accepted as a whole. Change: mangodaemon with providers, adapters, graceful shutdown; mangochange.Propose takes a list, Check for dry runs.

--- a/internal/mangochange/propose.go
+++ b/internal/mangochange/propose.go
@@ -14,10 +14,12 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// proposal is a change on its way into the log.
+// MaxChanges bounds the changes of one proposal, so that the head keeps the ids of all of them.
+const MaxChanges = recentIDs / 2
+
+// proposal is a list of changes on its way into the log.
 type proposal struct {
-	entry    *mangomessage.Entry
-	expected uint64
+	changes []*mangomessage.Change
 	// unknown is set while an earlier write at version may still take effect.
 	unknown bool
 	version uint64
@@ -25,20 +27,35 @@
 	from uint64
 }
 
-// Propose appends a change and returns its revision. A change whose id is in the log already gives the revision of
-// then, so that a repeated proposal is harmless; an empty id is replaced by a random one.
-func (l *Log) Propose(ctx context.Context, change *mangomessage.Change) (uint64, error) {
-	entry, ok := proto.Clone(change.GetEntry()).(*mangomessage.Entry)
-	if !ok || entry == nil {
-		return 0, &Error{Op: "Propose", Kind: KindInvalid, Err: errors.New("change has no entry")}
-	}
-	if err := mangoprofile.Validate(entry); err != nil {
-		return 0, &Error{Op: "Propose", Kind: KindInvalid, Err: err}
+// newProposal checks changes by themselves and gives ids to those that have none.
+func newProposal(op string, changes []*mangomessage.Change) (*proposal, error) {
+	if len(changes) == 0 || len(changes) > MaxChanges {
+		return nil, &Error{Op: op, Kind: KindInvalid, Err: errors.Errorf("%d changes; 1 to %d are allowed", len(changes), MaxChanges)}
+	}
+	p := &proposal{}
+	for _, c := range changes {
+		if c.GetEntry() == nil {
+			return nil, &Error{Op: op, Kind: KindInvalid, Err: errors.New("change has no entry")}
+		}
+		if err := mangoprofile.Validate(c.GetEntry()); err != nil {
+			return nil, &Error{Op: op, Kind: KindInvalid, Err: err}
+		}
+		c = proto.CloneOf(c)
+		if c.Entry.ChangeId == "" {
+			c.Entry.ChangeId = randomID()
+		}
+		p.changes = append(p.changes, c)
 	}
-	if entry.GetChangeId() == "" {
-		entry.ChangeId = randomID()
+	return p, nil
+}
+
+// Propose appends changes, all or none, and returns the revision that holds them. Changes whose ids are in the log
+// already count as accepted, so that a repeated proposal is harmless; an empty id is replaced by a random one.
+func (l *Log) Propose(ctx context.Context, changes ...*mangomessage.Change) (uint64, error) {
+	p, err := newProposal("Propose", changes)
+	if err != nil {
+		return 0, err
 	}
-	p := &proposal{entry: entry, expected: change.GetExpectedRevision()}
 	for attempt := range attempts {
 		if attempt > 0 && !l.pause(ctx, attempt) {
 			break
@@ -51,6 +68,35 @@
 	return 0, p.result(&Error{Op: "Propose", Kind: KindContention, Err: errors.New("other writers won every attempt")})
 }
 
+// Check tells whether the changes would be accepted now, and returns the revision that it checked against.
+func (l *Log) Check(ctx context.Context, changes ...*mangomessage.Change) (uint64, error) {
+	p, err := newProposal("Check", changes)
+	if err != nil {
+		return 0, err
+	}
+	s, book, err := l.catchUp(ctx)
+	if err != nil {
+		return 0, err
+	}
+	pending, _ := p.pending(s.head, book)
+	_, err = apply(book, pending)
+	return book.Revision(), err
+}
+
+// pending returns the changes that are not yet accepted and the highest revision of those that are.
+func (p *proposal) pending(head *mangomessage.Head, book *mangoprofile.Book) ([]*mangomessage.Change, uint64) {
+	var pending []*mangomessage.Change
+	var last uint64
+	for _, c := range p.changes {
+		if revision, ok := accepted(head, book, c.GetEntry()); ok {
+			last = max(last, revision)
+			continue
+		}
+		pending = append(pending, c)
+	}
+	return pending, last
+}
+
 // result replaces an error that denies an effect while an earlier write is unresolved.
 func (p *proposal) result(err error) error {
 	if err == nil || !p.unknown {
@@ -69,14 +115,15 @@
 	if err != nil {
 		return 0, false, err
 	}
-	if revision, ok := accepted(s.head, book, p.entry); ok {
+	pending, last := p.pending(s.head, book)
+	if len(pending) == 0 {
 		p.unknown = false
-		return revision, false, nil
+		return last, false, nil
 	}
 	if p.unknown && s.version > p.version && reaches(s.head, p.from) {
 		p.unknown = false
 	}
-	next, err := p.apply(book)
+	next, err := apply(book, pending)
 	if err != nil {
 		return 0, false, err
 	}
@@ -84,12 +131,15 @@
 		err = l.Compact(ctx)
 		return 0, err == nil || kindOf(err) == KindContention, err
 	}
-	return l.write(ctx, p, s, next)
+	return l.write(ctx, p, s, next, len(pending))
 }
 
-func (l *Log) write(ctx context.Context, p *proposal, s snapshot, next *mangoprofile.Book) (uint64, bool, error) {
-	entries := next.Recent(1)
-	head := extend(s.head, entries[0])
+// write swaps the head for one that holds the n newest entries of a book as well.
+func (l *Log) write(ctx context.Context, p *proposal, s snapshot, next *mangoprofile.Book, n int) (uint64, bool, error) {
+	head := s.head
+	for _, e := range next.Recent(n) {
+		head = extend(head, e)
+	}
 	version, err := l.putHead(ctx, s.version, head)
 	kind := storeKind(err)
 	switch {
@@ -111,17 +161,27 @@
 	}
 }
 
-// apply checks the change against the book and returns the book after it.
-func (p *proposal) apply(book *mangoprofile.Book) (*mangoprofile.Book, error) {
-	kind, name := mangoprofile.EntryKind(p.entry), mangoprofile.EntryName(p.entry)
-	if present := book.Entry(kind, name); present.GetRevision() != p.expected {
+// apply checks changes, each against the book after those before it, and returns the book after all of them.
+func apply(book *mangoprofile.Book, changes []*mangomessage.Change) (*mangoprofile.Book, error) {
+	var err error
+	for _, c := range changes {
+		if book, err = applyOne(book, c); err != nil {
+			return nil, err
+		}
+	}
+	return book, nil
+}
+
+func applyOne(book *mangoprofile.Book, c *mangomessage.Change) (*mangoprofile.Book, error) {
+	kind, name := mangoprofile.EntryKind(c.Entry), mangoprofile.EntryName(c.Entry)
+	if present := book.Entry(kind, name); present.GetRevision() != c.GetExpectedRevision() {
 		return nil, &Error{Op: "Propose", Kind: KindConflict, Present: present, Err: errors.Errorf(
-			"%s %q is at revision %d by %q, expected %d", kind, name, present.GetRevision(), present.GetAuthor(), p.expected)}
+			"%s %q is at revision %d by %q, expected %d", kind, name, present.GetRevision(), present.GetAuthor(), c.GetExpectedRevision())}
 	}
-	if err := book.Check(p.entry); err != nil {
+	if err := book.Check(c.Entry); err != nil {
 		return nil, &Error{Op: "Propose", Kind: KindInvalid, Err: err}
 	}
-	entry, _ := proto.Clone(p.entry).(*mangomessage.Entry)
+	entry := proto.CloneOf(c.Entry)
 	entry.Revision = book.Revision() + 1
 	next, err := book.With(entry)
 	if err != nil {
--- a/internal/mangocontrol/observe.go
+++ b/internal/mangocontrol/observe.go
@@ -50,3 +50,15 @@
 	s := c.Snapshot()
 	return s.Directory.Leaving(host, s.At)
 }
+
+// Succeeded ends the ejection of a service replica that answered.
+func (c *Controller) Succeeded(host string) {
+	if h, ok := c.Snapshot().Directory.Host(host); !ok || h.Failures == 0 {
+		return
+	}
+	now := c.now()
+	c.observe(func(s *state) {
+		s.directory = s.directory.With(host, func(h mangohost.Host) mangohost.Host { return h.WithSuccess(now) })
+		s.dirty = true
+	})
+}
--- a/internal/mangocontrol/poll.go
+++ b/internal/mangocontrol/poll.go
@@ -85,3 +85,6 @@
 		}
 	}
 }
+
+// Refresh reads the change log now and passes what is new on to peers.
+func (c *Controller) Refresh(ctx context.Context) { c.pollOnce(ctx) }
--- /dev/null
+++ b/internal/mangodaemon/operate.go
@@ -0,0 +1,138 @@
+package mangodaemon
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mangopath.org/mangopath/internal/mangochange"
+	"mangopath.org/mangopath/internal/mangocontrol"
+	"mangopath.org/mangopath/internal/mangocustomer"
+	"mangopath.org/mangopath/internal/mangooperator"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/internal/mangosuspect"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Version of the program.
+const Version = "0.1.0"
+
+// proposer puts operators' changes into the log and into force on this entry host.
+type proposer struct {
+	log        *mangochange.Log
+	controller *mangocontrol.Controller
+}
+
+var _ mangooperator.Proposer = proposer{}
+
+// Propose implements mangooperator.Proposer.
+func (p proposer) Propose(ctx context.Context, changes []*mangomessage.Change, dryRun bool) (uint64, error) {
+	if dryRun {
+		revision, err := p.log.Check(ctx, changes...)
+		return revision, operatorError("check", err)
+	}
+	revision, err := p.log.Propose(ctx, changes...)
+	if err != nil {
+		return 0, operatorError("propose", err)
+	}
+	p.controller.Refresh(ctx)
+	return revision, nil
+}
+
+// operatorError turns an error of the log into one of the operators' API.
+func operatorError(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	var known *mangochange.Error
+	if !errors.As(err, &known) {
+		return &mangooperator.Error{Op: op, Kind: mangooperator.KindInternal, Err: err}
+	}
+	kind := mangooperator.KindInternal
+	switch known.Kind {
+	case mangochange.KindInvalid:
+		kind = mangooperator.KindInvalid
+	case mangochange.KindConflict:
+		kind = mangooperator.KindConflict
+	case mangochange.KindUnknown:
+		kind = mangooperator.KindUnknown
+	case mangochange.KindUnavailable, mangochange.KindContention, mangochange.KindBehind:
+		kind = mangooperator.KindUnavailable
+	case mangochange.KindFork, mangochange.KindCorrupt:
+	}
+	return &mangooperator.Error{Op: op, Kind: kind, Present: known.Present, Err: known.Err}
+}
+
+// historian reads the latest changes that the book keeps.
+type historian struct{ controller *mangocontrol.Controller }
+
+var _ mangooperator.Historian = historian{}
+
+// History implements mangooperator.Historian.
+func (h historian) History(_ context.Context, name string) ([]*mangomessage.Entry, error) {
+	recent := h.controller.Snapshot().Book.Recent(mangoprofile.RecentEntries)
+	var entries []*mangomessage.Entry
+	for _, e := range slices.Backward(recent) {
+		if name == "" || mangoprofile.EntryName(e) == name {
+			entries = append(entries, e)
+		}
+	}
+	return entries, nil
+}
+
+// explainer explains routes and maps unknown names to the operators' error.
+type explainer struct{ controller *mangocontrol.Controller }
+
+var _ mangooperator.Explainer = explainer{}
+
+// Explain implements mangooperator.Explainer.
+func (e explainer) Explain(ctx context.Context, request *mangomessage.ExplainRequest) (*mangomessage.ExplainReply, error) {
+	reply, err := e.controller.Explain(ctx, request)
+	if err != nil {
+		return nil, &mangooperator.Error{Op: "explain", Kind: mangooperator.KindNotFound, Err: err}
+	}
+	return reply, nil
+}
+
+// readiness says whether the load balancer may send calls here.
+type readiness struct {
+	started  time.Time
+	stopping atomic.Bool
+}
+
+func provideReadiness() *readiness { return &readiness{started: time.Now()} }
+
+// reporter tells the state of this entry host.
+type reporter struct {
+	controller *mangocontrol.Controller
+	queue      *mangocustomer.Queue
+	suspects   *mangosuspect.Suspects
+	ready      *readiness
+	region     string
+}
+
+var _ mangooperator.Reporter = reporter{}
+
+// Status implements mangooperator.Reporter.
+func (r reporter) Status() *mangomessage.OperatorStatus {
+	status := r.controller.Status()
+	status.Region, status.Version = r.region, Version
+	status.UptimeMs = uint64(time.Since(r.ready.started).Milliseconds())
+	for _, l := range r.queue.Loads() {
+		status.Queued += uint32(l.Queued)
+	}
+	suspects, condemned := r.suspects.Counts(time.Now())
+	status.Suspects = uint32(suspects + condemned)
+	switch {
+	case r.ready.stopping.Load():
+		status.Reason = "this entry host is shutting down"
+	case !r.controller.Known():
+		status.Reason = "neither the platform nor a peer has given the configuration yet"
+	default:
+		status.Ready = true
+	}
+	return status
+}
--- /dev/null
+++ b/internal/mangodaemon/provide.go
@@ -0,0 +1,171 @@
+package mangodaemon
+
+import (
+	"strings"
+	"time"
+
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoadmission"
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/internal/mangochange"
+	"mangopath.org/mangopath/internal/mangocontrol"
+	"mangopath.org/mangopath/internal/mangocustomer"
+	"mangopath.org/mangopath/internal/mangodispatch"
+	"mangopath.org/mangopath/internal/mangogateway"
+	"mangopath.org/mangopath/internal/mangoledger"
+	"mangopath.org/mangopath/internal/mangometric"
+	"mangopath.org/mangopath/internal/mangooperator"
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangosetting"
+	"mangopath.org/mangopath/internal/mangostore"
+	"mangopath.org/mangopath/internal/mangosuspect"
+	"mangopath.org/mangopath/internal/mangoupstream"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// providers has a constructor for each part of an entry host.
+var providers = wire.NewSet(
+	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
+	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, newDaemon,
+	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+)
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func provideIdentity(s *mangomessage.Settings) mangocontrol.Identity {
+	return mangocontrol.Identity{
+		Name: s.Host.Name, DataCentre: s.Host.DataCentre, PeerAddress: s.Peers.Address,
+		// A host that is replaced or restarted starts later by the platform's clock than the one before it.
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+}
+
+func provideClient(s *mangomessage.Settings) *mangostore.Client {
+	return mangostore.New(s.Platform.Address, mangostore.WithToken(s.Platform.Token), mangostore.WithTimeout(milliseconds(s.Platform.Timeout)))
+}
+
+func provideBudget(s *mangomessage.Settings, client *mangostore.Client) *mangostore.Budget {
+	return mangostore.NewBudget(client, float64(s.Platform.ReadRate), float64(s.Platform.WriteRate))
+}
+
+func provideLog(budget *mangostore.Budget, logger *logrus.Logger) *mangochange.Log {
+	return mangochange.New(budget.For("changes"), mangochange.WithLogger(logger))
+}
+
+func provideSecurity(s *mangomessage.Settings) (mangopeer.Security, error) {
+	if s.Peers.CertificateFile != "" {
+		return mangopeer.MutualTLS(s.Peers.CertificateFile, s.Peers.KeyFile, s.Peers.AuthorityFile)
+	}
+	return mangopeer.SharedKey([]byte(s.Peers.SharedKey)), nil
+}
+
+func providePeers(s *mangomessage.Settings, security mangopeer.Security) *mangopeer.Client {
+	return mangopeer.NewClient(security, mangopeer.WithCallTimeout(milliseconds(s.Peers.ExchangeTimeout)))
+}
+
+func provideEngines(s *mangomessage.Settings, metrics *mangometric.Metrics) *mangoupstream.Client {
+	return mangoupstream.New(
+		mangoupstream.WithConnectTimeout(milliseconds(s.Routing.ConnectTimeout)),
+		mangoupstream.WithHooks(mangoupstream.Hooks{Dropped: func(string) { metrics.Dropped("mismatch") }}),
+	)
+}
+
+func provideServices(s *mangomessage.Settings, logger *logrus.Logger) mangoupstream.Service {
+	return mangoupstream.Logged(mangoupstream.NewService(mangoupstream.WithConnectTimeout(milliseconds(s.Routing.ConnectTimeout))), logger)
+}
+
+func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects { return mangosuspect.New(id.Name) }
+
+func provideController(
+	s *mangomessage.Settings, id mangocontrol.Identity, log *mangochange.Log, client *mangostore.Client, peers *mangopeer.Client,
+	engines *mangoupstream.Client, suspects *mangosuspect.Suspects, limiter *mangocustomer.Limiter, logger *logrus.Logger,
+) (*mangocontrol.Controller, error) {
+	links, err := mangosetting.LinkCosts(s.Routing.LinkCosts)
+	if err != nil {
+		return nil, err
+	}
+	return mangocontrol.New(
+		id, log, client, peers, engines,
+		mangocontrol.WithLogger(logger), mangocontrol.WithSeeds(s.Peers.Seeds...), mangocontrol.WithLinks(links),
+		mangocontrol.WithSuspects(suspects), mangocontrol.WithLimits(limiter),
+		mangocontrol.WithTimes(mangocontrol.Times{
+			Poll: milliseconds(s.Platform.PollInterval), List: milliseconds(s.Platform.ListInterval),
+			Exchange: milliseconds(s.Peers.ExchangeInterval), ExchangeTimeout: milliseconds(s.Peers.ExchangeTimeout),
+			Probe: milliseconds(s.Routing.ProbeInterval), Freshness: milliseconds(s.Routing.FreshnessBound),
+		}),
+	), nil
+}
+
+func provideQueue(s *mangomessage.Settings) *mangocustomer.Queue {
+	return mangocustomer.NewQueue(mangocustomer.WithMaxCalls(int(s.Limits.MaxCalls)), mangocustomer.WithMaxQueue(int(s.Limits.MaxQueue)))
+}
+
+func provideLimiter() *mangocustomer.Limiter { return mangocustomer.NewLimiter() }
+
+func provideLedger(s *mangomessage.Settings, id mangocontrol.Identity, budget *mangostore.Budget) *mangoledger.Ledger {
+	return mangoledger.New(budget.For("ledger"), id.Name, id.PeerAddress,
+		mangoledger.WithRetention(milliseconds(s.Limits.LedgerRetention)), mangoledger.WithDispatchBound(milliseconds(s.Limits.DispatchBound)))
+}
+
+func provideDispatcher(
+	s *mangomessage.Settings, services mangoupstream.Service, controller *mangocontrol.Controller, ledger *mangoledger.Ledger,
+	peers *mangopeer.Client,
+) *mangodispatch.Dispatcher {
+	return mangodispatch.New(services, mangodispatch.NewBalancer(controller), ledger, asker{peers},
+		mangodispatch.WithRetryBudget(int(s.Routing.RetryBudget)), mangodispatch.WithObserver(sent{controller}))
+}
+
+func provideDriver(
+	s *mangomessage.Settings, engines *mangoupstream.Client, controller *mangocontrol.Controller, metrics *mangometric.Metrics,
+) *mangocall.Driver {
+	const prefillCeiling = 5 * time.Second
+	return mangocall.New(engines, controller, observer{controller, metrics},
+		mangocall.WithStepLimits(milliseconds(s.Routing.StepTimeoutMin), milliseconds(s.Routing.StepTimeoutMax), prefillCeiling),
+		mangocall.WithMove(milliseconds(s.Routing.MoveAfter), 2*time.Second))
+}
+
+func provideAdmission(
+	controller *mangocontrol.Controller, queue *mangocustomer.Queue, limiter *mangocustomer.Limiter, suspects *mangosuspect.Suspects,
+	driver *mangocall.Driver, dispatcher *mangodispatch.Dispatcher, logger *logrus.Logger,
+) *mangoadmission.Admission {
+	return mangoadmission.New(controller, queue, driver, dispatcher,
+		mangoadmission.WithLimiter(limiter), mangoadmission.WithSuspects(suspects), mangoadmission.WithLogger(logger))
+}
+
+func provideGateway(
+	s *mangomessage.Settings, admission *mangoadmission.Admission, metrics *mangometric.Metrics, logger *logrus.Logger,
+) *mangogateway.Gateway {
+	return mangogateway.New(s.Callers, admission, admission, admission, logger, mangogateway.WithObserver(metrics))
+}
+
+func provideOperators(
+	s *mangomessage.Settings, controller *mangocontrol.Controller, log *mangochange.Log, queue *mangocustomer.Queue,
+	suspects *mangosuspect.Suspects, registry *prometheus.Registry, logger *logrus.Logger, ready *readiness,
+) *mangooperator.Operators {
+	return mangooperator.New(s.Operators, mangooperator.Sources{
+		Book: controller, Proposer: proposer{log: log, controller: controller}, Historian: historian{controller},
+		Reporter:  reporter{controller: controller, queue: queue, suspects: suspects, ready: ready, region: s.Host.Region},
+		Explainer: explainer{controller}, Directory: controller,
+	}, registry, logger)
+}
+
+func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
+
+func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) { return mangometric.New(registry) }
+
+// words splits a comma-separated setting.
+func words(list []string) []string {
+	var all []string
+	for _, l := range list {
+		for _, w := range strings.Split(l, ",") {
+			if w = strings.TrimSpace(w); w != "" {
+				all = append(all, w)
+			}
+		}
+	}
+	return all
+}
