Report crashes seen between steps and measure limits from the first try

Cause: a trial against the engine stand-in showed that a host which dies between two steps was not reported as crashed, since the stream then fails with NotSent; a resumed step measured only its second try, so that the limit of a slow host did not grow.

--- a/internal/mangocall/driver_test.go
+++ b/internal/mangocall/driver_test.go
@@ -105,6 +105,8 @@
 		{"resume after a loss before the step", at(map[int]string{8: "LostBefore"}), 1},
 		{"resume after a loss after the step", at(map[int]string{8: "LostAfter", 12: "LostAfter"}), 1},
 		{"resume after a hang", at(map[int]string{8: "HangAfter", 12: "HangBefore"}), 1},
+		{"step that runs late", at(map[int]string{8: "HangLate", 20: "HangLate"}), 1},
+		{"step that runs after its attempt ended", at(map[int]string{8: "HangLate", 9: "HangLate"}), 2},
 		{"crash", at(map[int]string{8: "Crash"}), 2},
 		{"loss during recovery", at(map[int]string{8: "Crash", 10: "Crash"}), 3},
 		{"move", at(map[int]string{8: "Leaving", 20: "Leaving"}), 1},
--- a/internal/mangocall/fake_test.go
+++ b/internal/mangocall/fake_test.go
@@ -38,6 +38,8 @@
 	layers map[uint32]uint64
 	next   uint32
 	last   *mangomessage.StepResult
+	// late is a step that runs only after the call gave up on it.
+	late *mangomessage.Step
 }
 
 func newFleet(perRange int, f fault) *fleet {
@@ -74,13 +76,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key, what := keyOf(host, o.GetCall(), o.GetAttempt()), l.fault("Open", host, nil)
+	for _, c := range l.kept {
+		if c != nil && c.late != nil {
+			c.run(c.late)
+			c.late = nil
+		}
+	}
 	switch {
 	case l.dead[host]:
 		return nil, nil, lost(mangoupstream.KindNotSent)
 	case what == "Hang":
-		l.mu.Unlock()
-		<-ctx.Done()
-		l.mu.Lock()
+		l.hang(ctx)
 		return nil, nil, lost(mangoupstream.KindTimeout)
 	case what == "Refuse" && !o.GetResume():
 		return nil, &mangomessage.Opened{Reason: "Busy"}, lost(mangoupstream.KindRefused)
@@ -113,28 +119,35 @@
 	defer l.mu.Unlock()
 	what, c := l.fault("Step", s.host, step), l.kept[s.key]
 	if l.dead[s.host] || c == nil {
-		return nil, lost(mangoupstream.KindLost)
+		return nil, lost(mangoupstream.KindNotSent) // the stream broke between two steps
 	}
 	if what == "Crash" {
 		return nil, l.crash(s.host)
 	}
 	var result *mangomessage.StepResult
-	if what != "LostBefore" && what != "HangBefore" {
+	if what == "HangLate" {
+		c.late = step
+	} else if what != "LostBefore" && what != "HangBefore" {
 		result = c.run(step)
 		result.Leaving = what == "Leaving"
 	}
 	switch what {
 	case "LostBefore", "LostAfter":
 		return nil, lost(mangoupstream.KindLost)
-	case "HangBefore", "HangAfter":
-		l.mu.Unlock()
-		<-ctx.Done()
-		l.mu.Lock()
+	case "HangBefore", "HangAfter", "HangLate":
+		l.hang(ctx)
 		return nil, lost(mangoupstream.KindTimeout)
 	}
 	return result, nil
 }
 
+// hang waits for the context without the lock.
+func (l *fleet) hang(ctx context.Context) {
+	l.mu.Unlock()
+	<-ctx.Done()
+	l.mu.Lock()
+}
+
 func (c *cache) run(s *mangomessage.Step) *mangomessage.StepResult {
 	if c.last != nil && c.last.GetPosition() == s.GetPosition() {
 		return &mangomessage.StepResult{Count: c.last.GetCount(), Hidden: c.last.Hidden, Token: c.last.Token, Text: c.last.Text}
@@ -237,7 +250,7 @@
 func randomFaults(seed uint64) fault {
 	var mu sync.Mutex
 	random, crashes := rand.New(rand.NewPCG(seed, 1)), 0
-	steps := []string{"LostBefore", "LostAfter", "HangBefore", "HangAfter", "Leaving", "Crash"}
+	steps := []string{"LostBefore", "LostAfter", "HangBefore", "HangAfter", "HangLate", "Leaving", "Crash"}
 	return func(op, _ string, _ *mangomessage.Step) string {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/mangocall/leg.go
+++ b/internal/mangocall/leg.go
@@ -63,8 +63,8 @@
 func (l *leg) step(ctx context.Context, step *mangomessage.Step, prefill bool) (*mangomessage.StepResult, error) {
 	d := l.attempt.run.driver
 	kind := stepKind{host: l.replica.Host, prefill: prefill}
-	limit := d.estimator.limit(kind)
-	result, err := l.try(ctx, step, kind, limit)
+	limit, started := d.estimator.limit(kind), time.Now()
+	result, err := l.try(ctx, step, kind, limit, started)
 	if err == nil || ctx.Err() != nil || !connectionFailed(err) {
 		return result, err
 	}
@@ -74,15 +74,18 @@
 		return nil, errors.Join(err, reopened)
 	}
 	// The engine answered the opening, so it lives and may only be slow.
-	return l.try(ctx, step, kind, min(max(2*limit, d.options.openTimeout), d.estimator.top(kind)))
+	limit = min(max(2*limit, d.options.openTimeout), d.estimator.top(kind))
+	return l.try(ctx, step, kind, limit, started)
 }
 
-func (l *leg) try(ctx context.Context, step *mangomessage.Step, kind stepKind, limit time.Duration) (*mangomessage.StepResult, error) {
+// try sends a step and measures its time from the first try, so that the limit of a slow host grows.
+func (l *leg) try(
+	ctx context.Context, step *mangomessage.Step, kind stepKind, limit time.Duration, started time.Time,
+) (*mangomessage.StepResult, error) {
 	r, d := l.attempt.run, l.attempt.run.driver
 	bounded, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	l.attempt.stepped, r.stepped = true, true
-	started := time.Now()
 	result, err := l.stream.Step(bounded, step)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -115,7 +118,8 @@
 // reportCrash tells of a host that broke a connection and then refused new ones or lost its state.
 // From then on the call runs apart from other suspects, so that a second crash identifies one call.
 func (l *leg) reportCrash(step, reopened error) {
-	if upstreamKind(step) != mangoupstream.KindLost {
+	// A stream that broke between two steps gives NotSent; the call was aboard all the same.
+	if kind := upstreamKind(step); kind != mangoupstream.KindLost && kind != mangoupstream.KindNotSent {
 		return
 	}
 	if kind := upstreamKind(reopened); kind == mangoupstream.KindNotSent || kind == mangoupstream.KindNoState {
