--- a/internal/mangocall/driver_test.go
+++ b/internal/mangocall/driver_test.go
@@ -105,6 +105,8 @@
 		{"resume after a loss before the step", at(map[int]string{8: "LostBefore"}), 1},
 		{"resume after a loss after the step", at(map[int]string{8: "LostAfter", 12: "LostAfter"}), 1},
 		{"resume after a hang", at(map[int]string{8: "HangAfter", 12: "HangBefore"}), 1},
+		{"step that runs late", at(map[int]string{8: "HangLate", 20: "HangLate"}), 1},
+		{"step that runs after its attempt ended", at(map[int]string{8: "HangLate", 9: "HangLate"}), 2},
 		{"crash", at(map[int]string{8: "Crash"}), 2},
 		{"loss during recovery", at(map[int]string{8: "Crash", 10: "Crash"}), 3},
 		{"move", at(map[int]string{8: "Leaving", 20: "Leaving"}), 1},
@@ -196,12 +198,15 @@
 		{"all refuse", t.Context(), always("Open", "Refuse"), KindUpstream, NotRun},
 		{"caller gone before", gone, quiet, KindCancelled, NotRun},
 		{"budget used up", t.Context(), always("Step", "HangBefore"), KindUpstream, Unknown},
+		{"crashes its hosts", t.Context(), always("Step", "Crash"), KindQuarantine, Rejected},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			l := newFleet(2, c.fault)
-			d := testDriver(l, WithBudget(NewBudget(0, 2, 2)), WithAttempts(100, 3))
+			d := testDriver(l, WithBudget(NewBudget(0, 2, 2)), WithAttempts(100, 3), WithSuspectCheck(func(string) error {
+				return &Error{Kind: KindQuarantine, Outcome: Rejected}
+			}))
 			result, err := d.Run(c.ctx, testCall(), &textSink{})
 			d.Wait()
 			var known *Error
