--- a/internal/mangopeer/peer_test.go
+++ b/internal/mangopeer/peer_test.go
@@ -60,12 +60,19 @@
 }
 
 func serve(t *testing.T, h mangopeer.Handler, opts ...mangopeer.ServerOption) *countingListener {
+	t.Helper()
+	return serveWith(t, h, mangopeer.SharedKey([]byte("key")), opts...)
+}
+
+func serveWith(
+	t *testing.T, h mangopeer.Handler, security mangopeer.Security, opts ...mangopeer.ServerOption,
+) *countingListener {
 	t.Helper()
 	is := is.New(t)
 	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener := &countingListener{Listener: inner}
-	server, err := mangopeer.NewServer(h, mangopeer.SharedKey([]byte("key")), opts...)
+	server, err := mangopeer.NewServer(h, security, opts...)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
