Close gaps in the stand-ins' tests

Cause: 39 faults put into a scratch copy, one at a time, showed that no test noticed a model whose state forgets earlier positions, and that the test of the service's graceful stop passed without waiting for running requests.

--- a/internal/mangoengine/engine_test.go
+++ b/internal/mangoengine/engine_test.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// Guards against a model in which a position that is lost, doubled or out of order goes unnoticed.
+func TestPositionFaultsChangeTokens(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens []uint32
+	}{{"lost", []uint32{1, 3}}, {"doubled", []uint32{1, 2, 2, 3}}, {"reordered", []uint32{2, 1, 3}}}
+	last := func(tokens []uint32) uint64 {
+		outputs := newStage(testModel(0), 0, 4).run(embedTokens(tokens))
+		return outputs[len(outputs)-1]
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(last(test.tokens) != last([]uint32{1, 2, 3}))
+		})
+	}
+}
+
 // Guards against a layer that runs twice for a position when a stream breaks and resumes, and against lost positions.
 func TestResume(t *testing.T) {
 	is := is.New(t)
--- a/internal/mangoload/generator_test.go
+++ b/internal/mangoload/generator_test.go
@@ -110,6 +110,19 @@
 	is.True(total.FirstToken.P50 >= 200)
 }
 
+// Guards against latency that counts from the actual start of a call that the generator sent late.
+func TestLateStartCounts(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answerStream(w, r, "") }))
+	defer server.Close()
+	g := New(testPlan(server.URL))
+	defer g.client.CloseIdleConnections()
+	r := g.call(context.Background(), g.plan.schedule()[0], time.Now().Add(-100*time.Millisecond))
+	is.Equal(r.outcome, Answered)
+	is.True(r.latency >= 100*time.Millisecond)
+	is.True(r.tokens[0] >= 100*time.Millisecond)
+}
+
 // Guards against a call that is retried without being asked for, and against retries with another idempotency key.
 func TestRetryOfNotRun(t *testing.T) {
 	tests := []struct {
