--- a/internal/mangocontrol/fresh.go
+++ b/internal/mangocontrol/fresh.go
@@ -91,7 +91,7 @@
 // confirm asks the store and a few peers at once and returns when the first of them confirmed the book.
 func (c *Controller) confirm(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
-	asked := []func(context.Context){func(ctx context.Context) { c.pollOnce(ctx) }}
+	asked := []func(context.Context){c.pollOnce}
 	for _, address := range c.randomPeers(confirmPeers) {
 		asked = append(asked, func(ctx context.Context) { c.exchangeWith(ctx, address) })
 	}
--- a/internal/mangocontrol/poll.go
+++ b/internal/mangocontrol/poll.go
@@ -35,21 +35,20 @@
 	}
 }
 
-// pollOnce reads the change log and reports whether it could be read.
-func (c *Controller) pollOnce(ctx context.Context) bool {
+// pollOnce reads the change log and takes over what is new.
+func (c *Controller) pollOnce(ctx context.Context) {
 	start := c.now()
 	known := c.Snapshot().Book
 	book, err := c.log.Poll(ctx, known)
 	if kindOf(err) == mangochange.KindBehind {
 		c.repair(ctx)
-		return true
+		return
 	}
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "poll_failed", "revision": known.Revision()}).WithError(err).Warn("change log not read")
-		return false
+		return
 	}
 	c.takeBook(ctx, book, start)
-	return true
 }
 
 func kindOf(err error) mangochange.Kind {
--- a/internal/mangocontrol/report.go
+++ b/internal/mangocontrol/report.go
@@ -1,11 +1,14 @@
 package mangocontrol
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"mangopath.org/mangopath/internal/mangochain"
+	"mangopath.org/mangopath/internal/mangoprofile"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -13,13 +16,16 @@
 func (c *Controller) Entries(kind string) *mangomessage.EntryList {
 	book := c.Snapshot().Book
 	list := &mangomessage.EntryList{Revision: book.Revision()}
-	kinds := []string{kind}
-	if kind == "" {
-		kinds = []string{"Profile", "Alias", "Customer", "HostMark"}
-	}
-	for _, k := range kinds {
-		list.Entries = append(list.Entries, book.Entries(k)...)
+	for i := range mangoprofile.Pages {
+		for _, e := range book.Page(i) {
+			if kind == "" || mangoprofile.EntryKind(e) == kind {
+				list.Entries = append(list.Entries, e)
+			}
+		}
 	}
+	slices.SortFunc(list.Entries, func(a, b *mangomessage.Entry) int {
+		return cmp.Or(cmp.Compare(mangoprofile.EntryKind(a), mangoprofile.EntryKind(b)), cmp.Compare(mangoprofile.EntryName(a), mangoprofile.EntryName(b)))
+	})
 	return list
 }
 
@@ -103,4 +109,3 @@
 	s := c.Snapshot()
 	return s.Book.Revision() > 0 || !s.ConfirmedAt.IsZero()
 }
-
--- /dev/null
+++ b/internal/mangocontrol/state_test.go
@@ -0,0 +1,108 @@
+package mangocontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// bookAt returns a book with as many customers as its revision.
+func bookAt(t testing.TB, revision uint64) *mangoprofile.Book {
+	t.Helper()
+	book := mangoprofile.New()
+	for r := uint64(1); r <= revision; r++ {
+		name := fmt.Sprintf("customer-%d", r)
+		next, err := book.With(&mangomessage.Entry{ChangeId: name, Revision: r, Author: "test", Content: &mangomessage.Entry_Customer{
+			Customer: &mangomessage.Customer{Name: name},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		book = next
+	}
+	return book
+}
+
+// Guards against a book that goes back to an older revision, whatever order news arrives in.
+func TestBookNeverGoesBack(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		arrivals        []uint64
+		revision, taken uint64
+	}{
+		{"in order", []uint64{1, 2, 3}, 3, 3},
+		{"old after new", []uint64{3, 1, 2}, 3, 1},
+		{"same again", []uint64{2, 2}, 2, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(time.Time{})
+			taken := uint64(0)
+			for _, r := range c.arrivals {
+				if s.adopt(bookAt(t, r)) {
+					taken++
+				}
+			}
+			is.Equal(s.book.Revision(), c.revision)
+			is.Equal(taken, c.taken)
+		})
+	}
+}
+
+// Guards against a daemon that believes an old revision to be the newest because an old confirmation arrives late or
+// is about a revision that it does not have.
+func TestConfirmation(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name     string
+		revision uint64
+		at, want time.Time
+	}{
+		{"own revision", 2, start.Add(time.Second), start.Add(time.Second)},
+		{"earlier than the known one", 2, start.Add(-time.Second), start},
+		{"revision that is not here yet", 3, start.Add(time.Second), start},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(time.Time{})
+			s.adopt(bookAt(t, 2))
+			s.confirm(2, start)
+			s.confirm(c.revision, c.at)
+			is.Equal(s.confirmedAt, c.want)
+		})
+	}
+}
+
+// Guards against an entry host that counts as live after it said that it leaves, or as gone after it restarted.
+func TestMembersFollowIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := func(incarnation uint64, leaving bool) *mangomessage.Member {
+		return &mangomessage.Member{Name: "a", Incarnation: incarnation, Leaving: leaving}
+	}
+	for _, c := range []struct {
+		name   string
+		heard  []*mangomessage.Member
+		silent time.Duration
+		live   int
+	}{
+		{"live", []*mangomessage.Member{member(1, false)}, 0, 1},
+		{"leaving stays leaving", []*mangomessage.Member{member(1, true), member(1, false)}, 0, 0},
+		{"restarted", []*mangomessage.Member{member(1, true), member(2, false)}, 0, 1},
+		{"late news of an earlier run", []*mangomessage.Member{member(2, false), member(1, true)}, 0, 1},
+		{"silent", []*mangomessage.Member{member(1, false)}, time.Minute, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(now)
+			for _, m := range c.heard {
+				s.hear(m, now)
+			}
+			is.Equal(len(s.liveMembers(now.Add(c.silent))), c.live)
+		})
+	}
+}
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -14,6 +14,7 @@
 	"mangopath.org/mangopath/internal/mangocustomer"
 	"mangopath.org/mangopath/internal/mangogateway"
 	"mangopath.org/mangopath/internal/mangoledger"
+	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangooperator"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -35,24 +36,25 @@
 	security   mangopeer.Security
 	gateway    *mangogateway.Gateway
 	operators  *mangooperator.Operators
-	ready      *readiness
+	reporter   reporter
+	metrics    *mangometric.Metrics
 }
 
 func newDaemon(
 	settings *mangomessage.Settings, logger *logrus.Logger, controller *mangocontrol.Controller, queue *mangocustomer.Queue,
 	ledger *mangoledger.Ledger, driver *mangocall.Driver, peers *mangopeer.Client, security mangopeer.Security,
-	gateway *mangogateway.Gateway, operators *mangooperator.Operators, ready *readiness,
+	gateway *mangogateway.Gateway, operators *mangooperator.Operators, reporter reporter, metrics *mangometric.Metrics,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, controller: controller, queue: queue, ledger: ledger, driver: driver,
-		peers: peers, security: security, gateway: gateway, operators: operators, ready: ready,
+		peers: peers, security: security, gateway: gateway, operators: operators, reporter: reporter, metrics: metrics,
 	}
 }
 
 // Run serves until the context ends, then shuts down gracefully; it returns an error when a part could not start or
 // ended by itself.
 func Run(ctx context.Context, settings *mangomessage.Settings, logger *logrus.Logger) error {
-	daemon, err := Initialize(settings, logger)
+	daemon, err := Initialize(settings, logger) //nolint:contextcheck // assembly starts nothing that could be cancelled
 	if err != nil {
 		return &Error{Op: "initialize", Kind: KindStart, Err: err}
 	}
@@ -86,6 +88,7 @@
 	}
 	run("control", func() error { return d.controller.Run(inner) })
 	run("slots", func() error { d.controller.ShareSlots(inner, d.queue); return nil })
+	run("gauges", func() error { d.reporter.gauges(inner, d.metrics); return nil })
 	run("ledger", func() error { return d.ledger.Run(inner) })
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
@@ -97,7 +100,7 @@
 	var failed error
 	select {
 	case <-ctx.Done():
-		d.drain(callers)
+		d.drain(inner, callers)
 	case p := <-ended:
 		running--
 		failed = &Error{Op: p.name, Kind: KindPart, Err: errors.Errorf("ended by itself: %v", p.err)}
@@ -115,18 +118,18 @@
 }
 
 // drain fails the readiness check, accepts calls until the load balancer has noticed and lets running calls finish.
-func (d *Daemon) drain(callers *http.Server) {
+func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.logger.WithFields(logrus.Fields{"event": "draining"}).Info("entry host shuts down")
-	d.ready.stopping.Store(true)
+	d.reporter.ready.stopping.Store(true)
 	d.controller.Leave()
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(milliseconds(d.settings.Callers.DrainDelay))
-	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(d.settings.Callers.DrainTimeout))
+	shutdown, cancel := context.WithTimeout(ctx, milliseconds(d.settings.Callers.DrainTimeout))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(shutdown); err != nil {
 		d.logger.WithFields(logrus.Fields{"event": "drain_incomplete"}).WithError(err).Warn("calls still ran at the end of the drain timeout")
 	}
-	flush, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
 	if err := d.ledger.Flush(flush); err != nil {
 		d.logger.WithFields(logrus.Fields{"event": "flush_incomplete"}).WithError(err).Warn("records were not all written")
--- /dev/null
+++ b/internal/mangodaemon/gauge.go
@@ -0,0 +1,32 @@
+package mangodaemon
+
+import (
+	"context"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangometric"
+)
+
+// gaugeInterval is the time between updates of the gauges; scrapers read at longer intervals.
+const gaugeInterval = time.Second
+
+// gauges shows the control state in the metrics until the context ends.
+func (r reporter) gauges(ctx context.Context, metrics *mangometric.Metrics) {
+	tick := time.NewTicker(gaugeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		snapshot, status := r.controller.Snapshot(), r.Status()
+		if !snapshot.ConfirmedAt.IsZero() {
+			metrics.Confirmed(status.Revision, snapshot.ConfirmedAt)
+		}
+		metrics.Unconfirmed(status.Unconfirmed)
+		metrics.Queued(int(status.Queued))
+		metrics.Suspects(int(status.Suspects))
+		metrics.Peers(len(snapshot.Members))
+	}
+}
--- a/internal/mangodaemon/operate.go
+++ b/internal/mangodaemon/operate.go
@@ -103,8 +103,6 @@
 	stopping atomic.Bool
 }
 
-func provideReadiness() *readiness { return &readiness{started: time.Now()} }
-
 // reporter tells the state of this entry host.
 type reporter struct {
 	controller *mangocontrol.Controller
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -1,10 +1,8 @@
 package mangodaemon
 
 import (
-	"strings"
 	"time"
 
-	"github.com/google/wire"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
@@ -26,14 +24,6 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// providers has a constructor for each part of an entry host.
-var providers = wire.NewSet(
-	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
-	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
-	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, newDaemon,
-	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
-)
-
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func provideIdentity(s *mangomessage.Settings) mangocontrol.Identity {
@@ -78,7 +68,9 @@
 	return mangoupstream.Logged(mangoupstream.NewService(mangoupstream.WithConnectTimeout(milliseconds(s.Routing.ConnectTimeout))), logger)
 }
 
-func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects { return mangosuspect.New(id.Name) }
+func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects {
+	return mangosuspect.New(id.Name)
+}
 
 func provideController(
 	s *mangomessage.Settings, id mangocontrol.Identity, log *mangochange.Log, client *mangostore.Client, peers *mangopeer.Client,
@@ -143,29 +135,26 @@
 }
 
 func provideOperators(
-	s *mangomessage.Settings, controller *mangocontrol.Controller, log *mangochange.Log, queue *mangocustomer.Queue,
-	suspects *mangosuspect.Suspects, registry *prometheus.Registry, logger *logrus.Logger, ready *readiness,
+	s *mangomessage.Settings, controller *mangocontrol.Controller, log *mangochange.Log,
+	registry *prometheus.Registry, logger *logrus.Logger, reporter reporter,
 ) *mangooperator.Operators {
 	return mangooperator.New(s.Operators, mangooperator.Sources{
 		Book: controller, Proposer: proposer{log: log, controller: controller}, Historian: historian{controller},
-		Reporter:  reporter{controller: controller, queue: queue, suspects: suspects, ready: ready, region: s.Host.Region},
+		Reporter:  reporter,
 		Explainer: explainer{controller}, Directory: controller,
 	}, registry, logger)
 }
 
+func provideReporter(
+	s *mangomessage.Settings, controller *mangocontrol.Controller, queue *mangocustomer.Queue, suspects *mangosuspect.Suspects,
+) reporter {
+	return reporter{
+		controller: controller, queue: queue, suspects: suspects, region: s.Host.Region, ready: &readiness{started: time.Now()},
+	}
+}
+
 func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
 
-func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) { return mangometric.New(registry) }
-
-// words splits a comma-separated setting.
-func words(list []string) []string {
-	var all []string
-	for _, l := range list {
-		for _, w := range strings.Split(l, ",") {
-			if w = strings.TrimSpace(w); w != "" {
-				all = append(all, w)
-			}
-		}
-	}
-	return all
+func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) {
+	return mangometric.New(registry)
 }
--- a/internal/mangodaemon/wire.go
+++ b/internal/mangodaemon/wire.go
@@ -4,11 +4,20 @@
 
 import (
 	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
+// providers has a constructor for each part of an entry host.
+var providers = wire.NewSet(
+	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
+	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, newDaemon,
+	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+)
+
 // Initialize assembles an entry host from its settings.
 func Initialize(settings *mangomessage.Settings, logger *logrus.Logger) (*Daemon, error) {
 	panic(wire.Build(providers))
--- a/internal/mangodaemon/wire_gen.go
+++ b/internal/mangodaemon/wire_gen.go
@@ -7,6 +7,8 @@
 package mangodaemon
 
 import (
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -43,8 +45,17 @@
 	dispatcher := provideDispatcher(settings, service, controller, ledger, mangopeerClient)
 	admission := provideAdmission(controller, queue, limiter, suspects, driver, dispatcher, logger)
 	gateway := provideGateway(settings, admission, metrics, logger)
-	mangodaemonReadiness := provideReadiness()
-	operators := provideOperators(settings, controller, log, queue, suspects, registry, logger, mangodaemonReadiness)
-	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReadiness)
+	mangodaemonReporter := provideReporter(settings, controller, queue, suspects)
+	operators := provideOperators(settings, controller, log, registry, logger, mangodaemonReporter)
+	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReporter, metrics)
 	return daemon, nil
 }
+
+// wire.go:
+
+// providers has a constructor for each part of an entry host.
+var providers = wire.NewSet(
+	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
+	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, newDaemon, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+)
--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -165,8 +165,10 @@
 
 // modelProfile describes the test model at a version.
 func modelProfile(name, version string) *mangomessage.Profile {
-	return &mangomessage.Profile{Name: name, Kind: "completion", Model: "tekst-model", Version: version, Layers: layers, DeadlineMs: 60000, MaxTokens: 1000,
-		Places: []*mangomessage.Place{{DataCentre: "nieuwegein"}, {DataCentre: "houten"}}}
+	return &mangomessage.Profile{
+		Name: name, Kind: "completion", Model: "tekst-model", Version: version, Layers: layers, DeadlineMs: 60000, MaxTokens: 1000,
+		Places: []*mangomessage.Place{{DataCentre: "nieuwegein"}, {DataCentre: "houten"}},
+	}
 }
 
 // serviceProfile describes a plain service on hosts of a data centre.
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -84,10 +84,10 @@
 	is := is.New(t)
 	f := switchable(t, 8)
 	seen := aliasRevision(t, f.entries[0], "tekst")
-	status, body := propose(f.entries[3], change("s1", seen, aliasEntry("tekst", "tekst-v2")))
+	status, _ := propose(f.entries[3], change("s1", seen, aliasEntry("tekst", "tekst-v2")))
 	is.Equal(status, http.StatusOK)
 	t.Logf("in force on 8 entry hosts after %v", inForce(t, f.entries, "tekst", "v2"))
-	status, body = propose(f.entries[5], change("s2", seen, aliasEntry("tekst", "tekst-v1")))
+	status, body := propose(f.entries[5], change("s2", seen, aliasEntry("tekst", "tekst-v1")))
 	is.Equal(status, http.StatusConflict) // the second operator saw an older revision
 	is.True(strings.Contains(body, "s1"))
 	status, _ = propose(f.entries[6], change("s1", seen, aliasEntry("tekst", "tekst-v2")))
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -133,7 +133,7 @@
 	go func() {
 		for watch.Err() == nil {
 			for i, e := range f.entries {
-				ready[i].Store(answers("http://" + e.operators + "/readyz"))
+				ready[i].Store(answers("http://" + e.operators + "/readyz")) //nolint:contextcheck // each probe has its own bound
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -53,7 +53,6 @@
 	command *exec.Cmd
 	log     *logBuffer
 	ended   chan struct{}
-	stopped bool
 }
 
 // logBuffer keeps the output of a process for failed tests.
