Do not take a peer's request as a confirmation of the book

Cause: an exchange request carries the age of the sender's confirmation at its sending. A daemon that was paused reads requests that waited in its buffers, and took their small ages as of now, so that its first call after the pause could follow an older profile. Ruled out: the daemon's own poll and its exchanges as a client count from before they start. Change: only replies confirm; profile put sends batches of 128 changes. Measured: TestRequestOfPeerDoesNotConfirm failed before and passes now, with -race.

--- a/cmd/mangopath/profile.go
+++ b/cmd/mangopath/profile.go
@@ -28,7 +28,7 @@
 				Description: "Example: mangopath --output json profile list --kind Alias", Action: profileList,
 			},
 			{
-				Name: "put", Usage: "have the entries of a profiles file accepted, all or none", Flags: []cli.Flag{file, dryRun, basedOn},
+				Name: "put", Usage: "have the entries of a profiles file accepted, all or none up to 128 changes", Flags: []cli.Flag{file, dryRun, basedOn},
 				Description: "Example: mangopath profile put -f examples/baasje-gezocht/profiles.json --dry-run", Action: profilePut,
 			},
 			{
--- a/cmd/mangopath/put.go
+++ b/cmd/mangopath/put.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
+	"mangopath.org/mangopath/internal/mangochange"
 	"mangopath.org/mangopath/pkg/mangoclient"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -45,13 +48,31 @@
 	if len(changes) == 0 {
 		return s.reply(&mangomessage.ChangeReply{Revision: list.GetRevision(), DryRun: c.Bool("dry-run")}, 0)
 	}
-	reply, err := s.client.Propose(ctx, changes, c.Bool("dry-run"))
+	reply, err := s.propose(ctx, changes, c.Bool("dry-run"))
 	if err != nil {
 		return err
 	}
 	return s.reply(reply, len(changes))
 }
 
+// propose sends changes in batches that an entry host accepts as a whole; a batch that fails leaves those before it
+// in force, and the same command again goes on from there.
+func (s *session) propose(ctx context.Context, changes []*mangomessage.Change, dryRun bool) (*mangomessage.ChangeReply, error) {
+	var last *mangomessage.ChangeReply
+	done := 0
+	for batch := range slices.Chunk(changes, mangochange.MaxChanges) {
+		reply, err := s.client.Propose(ctx, batch, dryRun)
+		if err != nil && done > 0 {
+			return nil, errors.Wrapf(err, "after %d of %d changes were accepted", done, len(changes))
+		}
+		if err != nil {
+			return nil, err
+		}
+		last, done = reply, done+len(batch)
+	}
+	return last, nil
+}
+
 func (s *session) reply(reply *mangomessage.ChangeReply, changes int) error {
 	if s.json {
 		return s.message(reply)
--- a/internal/mangocontrol/fresh_test.go
+++ b/internal/mangocontrol/fresh_test.go
@@ -95,3 +95,22 @@
 		})
 	}
 }
+
+// Guards against a request of a peer that waited in a buffer while this daemon was paused: the age in it tells nothing
+// about the time at which it is read, so it must not confirm the book.
+func TestRequestOfPeerDoesNotConfirm(t *testing.T) {
+	is := is.New(t)
+	w := &world{}
+	controller := New(Identity{Name: "a"}, w, w, w, w, WithTimes(Times{Exchange: time.Hour, ExchangeTimeout: time.Second, Freshness: time.Second}))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		controller.loop(ctx)
+		close(ended)
+	}()
+	_, err := controller.Exchange(ctx, &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: "peer"}, ConfirmedAgeMs: 1})
+	is.NoErr(err)
+	is.True(!controller.Fresh())
+	cancel()
+	<-ended
+}
--- a/internal/mangocontrol/learn.go
+++ b/internal/mangocontrol/learn.go
@@ -27,7 +27,8 @@
 	GetHosts() *mangomessage.HostList
 }
 
-// learn takes over what a peer knows; start is the time before its answer was asked for.
+// learn takes over what a peer knows; start is the time before its answer was asked for, and zero for a request, whose
+// age cannot be told: it may have waited in a buffer while this daemon was paused.
 func (c *Controller) learn(ctx context.Context, address string, k knowledge, start time.Time) {
 	if k.GetFrom().GetName() == c.identity.Name {
 		return
@@ -78,9 +79,8 @@
 // learnBook applies the peer's changes, or fetches its pages when changes do not reach.
 func (c *Controller) learnBook(ctx context.Context, address string, k knowledge, start time.Time) {
 	book := c.Snapshot().Book
-	confirmedAt := start.Add(-time.Duration(k.GetConfirmedAgeMs()) * time.Millisecond)
 	if k.GetRevision() <= book.Revision() {
-		c.confirmed(ctx, k, confirmedAt)
+		c.confirmed(ctx, k, start)
 		return
 	}
 	next, err := c.advance(ctx, address, book, k)
@@ -92,14 +92,15 @@
 		return
 	}
 	_ = c.apply(ctx, func(s *state) { c.adopted(s, next, "peer") })
-	c.confirmed(ctx, k, confirmedAt)
+	c.confirmed(ctx, k, start)
 }
 
 // confirmed takes over a peer's confirmation; an age of the maximal value means that it has none.
-func (c *Controller) confirmed(ctx context.Context, k knowledge, at time.Time) {
-	if k.GetConfirmedAgeMs() == noConfirmation {
+func (c *Controller) confirmed(ctx context.Context, k knowledge, start time.Time) {
+	if start.IsZero() || k.GetConfirmedAgeMs() == noConfirmation {
 		return
 	}
+	at := start.Add(-time.Duration(k.GetConfirmedAgeMs()) * time.Millisecond)
 	_ = c.apply(ctx, func(s *state) {
 		if s.book.Revision() == k.GetRevision() {
 			s.confirm(k.GetRevision(), at)
--- a/internal/mangocontrol/serve.go
+++ b/internal/mangocontrol/serve.go
@@ -12,7 +12,7 @@
 
 // Exchange answers a peer's exchange.
 func (c *Controller) Exchange(ctx context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
-	c.learn(ctx, "", request, c.now())
+	c.learn(ctx, "", request, time.Time{})
 	s := c.Snapshot()
 	if request.Revision > s.Book.Revision() {
 		c.pull(request.From.GetAddress())
