Say NotRun about the key and let ledger writes wait for the budget

With 4 entry hosts and 80 submissions at once the ledger's writes were refused after 100 ms of waiting for the budget of 40 writes/s, and a resend that could not read the record was told NotRun although another entry host ran the key.

NotRun needs the key's record or the caller's statement Mangopath-Submission: first; otherwise the outcome is Unknown with Retry-After. A store that can only be read still gives recorded answers.

--- a/internal/mangoadmission/admission.go
+++ b/internal/mangoadmission/admission.go
@@ -127,13 +127,13 @@
 func (a *Admission) Call(ctx context.Context, c mangogateway.ServiceCall) (mangogateway.Answer, error) {
 	profile, _, err := a.admit(ctx, c.Request, mangocontrol.KindService)
 	if err != nil {
-		return mangogateway.Answer{}, err
+		return mangogateway.Answer{}, refused(c, profile, err)
 	}
 	if _, err := a.verdict(Fingerprint(c.Request, profile)); err != nil {
 		return mangogateway.Answer{}, err
 	}
 	answer, err := a.dispatcher.Run(ctx, mangodispatch.Call{
-		ID: c.ID, Customer: c.Customer, Profile: profile, Deadline: deadline(profile, c.Request),
+		ID: c.ID, Customer: c.Customer, Profile: profile, Deadline: deadline(profile, c.Request), First: c.First,
 		Request: mangoupstream.Request{
 			Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, IdempotencyKey: c.Key,
 		},
@@ -144,6 +144,16 @@
 	return mangogateway.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, nil
 }
 
+// refused turns NotRun into Unknown for a non-idempotent call that was refused before its record was read, unless the
+// caller states that it has not sent the key before: an earlier submission may have run.
+func refused(c mangogateway.ServiceCall, profile *mangomessage.Profile, err error) error {
+	var e *mangocall.Error
+	if !profile.GetNonIdempotent() || c.First || !errors.As(err, &e) || e.Outcome != mangocall.NotRun {
+		return err
+	}
+	return &mangocall.Error{Op: e.Op, Kind: e.Kind, Outcome: mangocall.Unknown, RetryAfter: e.RetryAfter, Err: e.Err}
+}
+
 // admit resolves the profile and checks that the customer may call it now.
 func (a *Admission) admit(ctx context.Context, r mangogateway.Request, kind string) (*mangomessage.Profile, *mangomessage.Customer, error) {
 	profile, err := a.control.Resolve(ctx, r.Name)
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -78,7 +78,9 @@
 	return mangoupstream.Logged(mangoupstream.NewService(mangoupstream.WithConnectTimeout(milliseconds(s.Routing.ConnectTimeout))), logger)
 }
 
-func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects { return mangosuspect.New(id.Name) }
+func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects {
+	return mangosuspect.New(id.Name)
+}
 
 func provideController(
 	s *mangomessage.Settings, id mangocontrol.Identity, log *mangochange.Log, client *mangostore.Client, peers *mangopeer.Client,
@@ -106,8 +108,12 @@
 
 func provideLimiter() *mangocustomer.Limiter { return mangocustomer.NewLimiter() }
 
+// ledgerQueue bounds the reads and the writes of records that wait for the budget; at the default rate of 40 writes/s
+// a full queue is 6 s long, more than half of a usual deadline.
+const ledgerQueue = 256
+
 func provideLedger(s *mangomessage.Settings, id mangocontrol.Identity, budget *mangostore.Budget) *mangoledger.Ledger {
-	return mangoledger.New(budget.For("ledger"), id.Name, id.PeerAddress,
+	return mangoledger.New(budget.For("ledger", mangostore.WithQueue(ledgerQueue)), id.Name, id.PeerAddress,
 		mangoledger.WithRetention(milliseconds(s.Limits.LedgerRetention)), mangoledger.WithDispatchBound(milliseconds(s.Limits.DispatchBound)))
 }
 
@@ -155,7 +161,9 @@
 
 func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
 
-func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) { return mangometric.New(registry) }
+func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) {
+	return mangometric.New(registry)
+}
 
 // words splits a comma-separated setting.
 func words(list []string) []string {
--- a/internal/mangodispatch/dispatch.go
+++ b/internal/mangodispatch/dispatch.go
@@ -18,6 +18,8 @@
 	Request  mangoupstream.Request
 	// Deadline is the time by which the answer must be there; zero means the profile's own.
 	Deadline time.Time
+	// First states that the caller has not sent the idempotency key before.
+	First bool
 	// Exclude names hosts that must not be used.
 	Exclude map[string]bool
 }
--- a/internal/mangogateway/api.go
+++ b/internal/mangogateway/api.go
@@ -46,8 +46,10 @@
 	ContentType string
 	Accept      string
 	// Key is the idempotency key; empty when the caller gave none.
-	Key  string
-	Body []byte
+	Key string
+	// First states that the caller has not sent the key before.
+	First bool
+	Body  []byte
 }
 
 // Answer is what a plain service answered.
--- a/internal/mangogateway/exchange.go
+++ b/internal/mangogateway/exchange.go
@@ -19,6 +19,8 @@
 	headerCall     = "Mangopath-Call"
 	headerDeadline = "Mangopath-Deadline-Ms"
 	headerKey      = "Idempotency-Key"
+	// headerSubmission with the value first states that the key was not sent before.
+	headerSubmission = "Mangopath-Submission"
 )
 
 // exchange is one HTTP request and its answer.
--- a/internal/mangogateway/failure.go
+++ b/internal/mangogateway/failure.go
@@ -33,6 +33,9 @@
 	case mangocall.Rejected:
 		return rejectedStatus(e.Kind)
 	case mangocall.Unknown:
+		if e.Kind == mangocall.KindLimit {
+			return http.StatusTooManyRequests
+		}
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusGatewayTimeout
--- a/internal/mangogateway/service.go
+++ b/internal/mangogateway/service.go
@@ -29,6 +29,9 @@
 	if call.Path, err = restOfPath(x.request, name); err == nil {
 		call.Key, err = idempotencyKey(x.request.Header)
 	}
+	if err == nil {
+		call.First, err = firstSubmission(x.request.Header)
+	}
 	if err != nil {
 		x.fail(err)
 		return
@@ -91,3 +94,15 @@
 	}
 	return key, nil
 }
+
+// firstSubmission reports whether the caller states that it has not sent the idempotency key before.
+func firstSubmission(header http.Header) (bool, error) {
+	values := header.Values(headerSubmission)
+	if len(values) == 0 {
+		return false, nil
+	}
+	if len(values) > 1 || values[0] != "first" {
+		return false, rejected("Read", mangocall.KindInvalid, errors.Errorf("header %s is not one value first", headerSubmission))
+	}
+	return true, nil
+}
--- a/internal/mangoledger/error.go
+++ b/internal/mangoledger/error.go
@@ -12,7 +12,8 @@
 type Kind int
 
 const (
-	// KindUnavailable means that the store could not be written; no record of this attempt exists.
+	// KindUnavailable means that the store could not be written; no record of this attempt exists. Other attempts of the
+	// call may have run or may still run.
 	KindUnavailable Kind = iota + 1
 	// KindPending means that a record of this attempt may exist although this process will never dispatch it.
 	KindPending
@@ -24,13 +25,15 @@
 	KindMismatch
 	// KindInvalid means that customer, key or digest are empty or too long.
 	KindInvalid
+	// KindContended means that other attempts of the call are known and that this one could not be recorded.
+	KindContended
 	// KindCorrupt means that the record cannot be decoded, so nothing is known about the call.
 	KindCorrupt
 )
 
 // String returns the name of the kind as it appears in logs.
 func (k Kind) String() string {
-	names := [...]string{"", "Unavailable", "Pending", "Started", "Done", "Mismatch", "Invalid", "Corrupt"}
+	names := [...]string{"", "Unavailable", "Pending", "Started", "Done", "Mismatch", "Invalid", "Contended", "Corrupt"}
 	if k < 1 || int(k) >= len(names) {
 		return fmt.Sprintf("Kind(%d)", int(k))
 	}
@@ -57,9 +60,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// NotRun reports whether the error proves that the attempt did not and will not run.
-func (e *Error) NotRun() bool { return e.Kind == KindUnavailable || e.Kind == KindPending }
-
 // ErrorKind returns the kind of an error of this package, or 0.
 func ErrorKind(err error) Kind {
 	var e *Error
--- a/internal/mangoledger/ledger.go
+++ b/internal/mangoledger/ledger.go
@@ -93,7 +93,7 @@
 	for range maxRounds {
 		lease, err := l.leases.get(ctx)
 		if err != nil {
-			return &Error{Op: "Grant", Kind: KindUnavailable, Err: err}
+			return l.readOnly(ctx, t, &Error{Op: "Grant", Kind: KindUnavailable, Err: err})
 		}
 		t.lease = lease
 		won, failed := l.write(ctx, t)
@@ -101,7 +101,7 @@
 			return failed
 		}
 	}
-	return &Error{Op: "Begin", Kind: KindUnavailable, Err: errors.New("the record kept changing")}
+	return &Error{Op: "Begin", Kind: KindContended, Err: errors.New("the record kept changing")}
 }
 
 // write makes one compare-and-swap; neither result means that another round is to be tried at t.version.
@@ -118,7 +118,7 @@
 		l.leases.drop(t.lease)
 		return false, nil
 	case mangostore.KindUnavailable, mangostore.KindLimited, mangostore.KindInvalid:
-		return false, &Error{Op: "Put", Kind: KindUnavailable, Err: err}
+		return false, l.readOnly(ctx, t, &Error{Op: "Put", Kind: KindUnavailable, Err: err})
 	case mangostore.KindUnknown:
 	}
 	return l.readBack(ctx, t, true)
@@ -154,6 +154,22 @@
 	return false, l.judge(t, r)
 }
 
+// readOnly looks for the record of a call when the store cannot be written, so that a resend still gets its answer.
+func (l *Ledger) readOnly(ctx context.Context, t *Ticket, failed *Error) *Error {
+	item, err := l.store.Get(ctx, t.store)
+	if err != nil || item.Version == 0 {
+		return failed
+	}
+	r, err := decode(item.Value)
+	if err != nil {
+		return &Error{Op: "Get", Kind: KindCorrupt, Err: err}
+	}
+	if known := l.judge(t, r); known != nil {
+		return known
+	}
+	return &Error{Op: failed.Op, Kind: KindContended, Err: failed.Err}
+}
+
 // judge returns nil when the key is free at the version that was read.
 func (l *Ledger) judge(t *Ticket, r *mangomessage.Record) *Error {
 	switch {
--- a/internal/mangostore/budget.go
+++ b/internal/mangostore/budget.go
@@ -2,16 +2,15 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 )
 
-// DefaultBudgetWait is how long a call waits for the budget; a longer queue would only hide that it is used up.
+// DefaultBudgetWait is how long a call waits for the budget unless its purpose has a queue; for calls that are
+// repeated anyway a longer wait would only hide that the budget is used up.
 const DefaultBudgetWait = 100 * time.Millisecond
 
 // Budget limits and counts the calls of one daemon, since the platform meters every call.
@@ -57,7 +56,13 @@
 
 // For returns a store whose calls are counted under a purpose and share the budget. A call that finds the budget used
 // up gives KindLimited.
-func (b *Budget) For(purpose string) Backend { return &budgeted{budget: b, purpose: purpose} }
+func (b *Budget) For(purpose string, opts ...PurposeOption) Backend {
+	s := &budgeted{budget: b, purpose: purpose}
+	for _, o := range opts {
+		o(b, s)
+	}
+	return s
+}
 
 // Counts returns the calls of each purpose, ordered by purpose.
 func (b *Budget) Counts() []Count {
@@ -71,27 +76,6 @@
 	return counts
 }
 
-func (b *Budget) read(ctx context.Context, purpose, op string) error {
-	err := b.take(ctx, b.reads, op)
-	b.count(purpose, func(c *Count) { c.Reads++ }, err)
-	return err
-}
-
-func (b *Budget) write(ctx context.Context, purpose, op string) error {
-	err := b.take(ctx, b.writes, op)
-	b.count(purpose, func(c *Count) { c.Writes++ }, err)
-	return err
-}
-
-func (b *Budget) take(ctx context.Context, l *rate.Limiter, op string) error {
-	ctx, cancel := context.WithTimeout(ctx, b.wait)
-	defer cancel()
-	if err := l.Wait(ctx); err != nil {
-		return &Error{Op: op, Kind: KindLimited, Err: errors.WithMessage(err, "budget of this daemon")}
-	}
-	return nil
-}
-
 func (b *Budget) count(purpose string, add func(*Count), err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/test/booking_fleet_test.go
@@ -0,0 +1,138 @@
+package test
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// bookings is a fleet with one service whose executions are counted in a journal, which survives the service.
+type bookings struct {
+	*fleet
+	service string
+	journal string
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	answers map[string][]told
+}
+
+// told is an answer with the executions of its key when it arrived.
+type told struct {
+	answer
+	ran int
+}
+
+// newBookings starts entry hosts and a service, and waits until all of them book.
+func newBookings(t *testing.T, entries int, via ...func(b *bookings)) *bookings {
+	t.Helper()
+	b := &bookings{fleet: newFleet(t), answers: map[string][]told{}}
+	b.journal = filepath.Join(b.dir, "journal")
+	b.service = b.fleet.service("opvang-1", "nieuwegein", "--journal", b.journal)
+	for _, v := range via {
+		v(b)
+	}
+	for i := range entries {
+		if len(b.entries) <= i {
+			b.entry(entryName(i), "nieuwegein")
+		}
+	}
+	b.publish()
+	declare(t, b.entries[0],
+		change("c1", 0, customerEntry("shelter", digestOf(customerKey))),
+		change("c2", 0, profileEntry(serviceProfile("reserve", "nieuwegein", true, "opvang-1"))))
+	for _, e := range b.entries {
+		eventually(t, startTimeout, "first booking", func() bool {
+			return book(context.Background(), e, "reserve", "warm-"+e.name, "{}").status == http.StatusOK
+		})
+	}
+	return b
+}
+
+// counts returns the executions of each key.
+func (b *bookings) counts() map[string]int {
+	b.t.Helper()
+	data, err := os.ReadFile(b.journal)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	counts := map[string]int{}
+	for _, key := range strings.Fields(string(data)) {
+		counts[key]++
+	}
+	return counts
+}
+
+// send books in the background and keeps the answer; first states that the key was not sent before.
+func (b *bookings) send(entry int, key string, limit time.Duration, first bool) {
+	header := http.Header{"Authorization": {"Bearer " + customerKey}, "Content-Type": {"application/json"}, "Idempotency-Key": {key}}
+	if first {
+		header.Set("Mangopath-Submission", "first")
+	}
+	url := "http://" + b.entries[entry].callers + "/v1/services/reserve/bookings"
+	b.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		status, data, replied, err := send(ctx, http.MethodPost, url, header, []byte(`{"Cat":"Mies"}`))
+		a := answer{status: status, outcome: replied.Get("Mangopath-Outcome"), body: string(data), err: err}
+		ran := b.counts()[key]
+		b.mu.Lock()
+		b.answers[key] = append(b.answers[key], told{a, ran})
+		b.mu.Unlock()
+	})
+}
+
+func (b *bookings) wait() { b.wg.Wait() }
+
+// check compares what callers were told with what ran. It guards against second executions, NotRun for a key that
+// had run, NotRun for a key that runs without being sent again, and two answers that differ.
+func (b *bookings) check() {
+	b.t.Helper()
+	is := is.New(b.t)
+	counts := b.counts()
+	for key, answers := range b.answers {
+		text, notRun := "", 0
+		for _, a := range answers {
+			b.t.Logf("%s: status=%d outcome=%q ran=%d of %d err=%v body=%.120s", key, a.status, a.outcome, a.ran, counts[key], a.err, a.body)
+			switch a.outcome {
+			case "Answer":
+				is.True(text == "" || a.body == text) // a resend gets the same answer
+				text = a.body
+			case "NotRun":
+				is.Equal(a.ran, 0)
+				notRun++
+			}
+		}
+		is.True(counts[key] <= 1)
+		is.True(text == "" || counts[key] == 1)                      // an answer comes from an execution
+		is.True(notRun < len(answers) || counts[key] == 0)           // NotRun from all means that it never ran
+		is.True(len(answers) > 1 || notRun == 0 || counts[key] == 0) // a key sent once
+	}
+}
+
+// proxy is a fault proxy in front of an address.
+type proxy struct{ listen, admin string }
+
+// proxy starts a fault proxy.
+func (b *bookings) proxy(name, target string) proxy {
+	b.t.Helper()
+	p := proxy{listen: address(b.t), admin: address(b.t)}
+	start(b.t, name, "mangostandin", "proxy", "--listen", p.listen, "--target", target, "--admin", p.admin)
+	eventually(b.t, startTimeout, name+" answers", func() bool { return answers("http://" + p.admin + "/admin/state") })
+	return p
+}
+
+// serviceProxy puts a proxy between the entry hosts and the service.
+func (b *bookings) serviceProxy() proxy {
+	p := b.proxy("service-proxy", b.service)
+	b.list(&mangomessage.ListedHost{Name: "opvang-1", Role: "Service", DataCentre: "nieuwegein", Address: p.listen, Kind: "service"})
+	return p
+}
