--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -98,8 +98,12 @@
 
 func provideLimiter() *mangocustomer.Limiter { return mangocustomer.NewLimiter() }
 
+// ledgerQueue bounds the reads and the writes of records that wait for the budget; at the default rate of 40 writes/s
+// a full queue is 6 s long, more than half of a usual deadline.
+const ledgerQueue = 256
+
 func provideLedger(s *mangomessage.Settings, id mangocontrol.Identity, budget *mangostore.Budget) *mangoledger.Ledger {
-	return mangoledger.New(budget.For("ledger"), id.Name, id.PeerAddress,
+	return mangoledger.New(budget.For("ledger", mangostore.WithQueue(ledgerQueue)), id.Name, id.PeerAddress,
 		mangoledger.WithRetention(milliseconds(s.Limits.LedgerRetention)), mangoledger.WithDispatchBound(milliseconds(s.Limits.DispatchBound)))
 }
 
