Measure goodput of both routers on the example deployments

Cause: there was no figure for the objectives of design section 15. The load generator can vary its rate in peaks and leaves a cool-down out of the counts. Not done: the recovery rows.

--- a/internal/mangoload/generator.go
+++ b/internal/mangoload/generator.go
@@ -74,12 +74,13 @@
 	}
 }
 
-// collect owns all counts; calls that were intended during the warm-up are left out.
+// collect owns all counts; calls that were intended during the warm-up or the cool-down are left out.
 func (g *Generator) collect(reports <-chan report) Result {
 	total, kinds, customers := newTally(), map[string]*tally{}, map[string]*tally{}
 	result := Result{Seed: g.plan.Seed, Kinds: map[string]Group{}, Customers: map[string]Group{}}
 	for r := range reports {
-		if r.arrival.at < milliseconds(g.plan.WarmupMs) {
+		result.AllTokens += len(r.tokens)
+		if r.arrival.at < milliseconds(g.plan.WarmupMs) || r.arrival.at >= milliseconds(g.plan.DurationMs-g.plan.CooldownMs) {
 			continue
 		}
 		total.add(r)
@@ -91,7 +92,7 @@
 				r.arrival.at.Round(time.Millisecond), r.arrival.kind.Name, r.arrival.customer.Name, r.outcome, r.detail))
 		}
 	}
-	result.Seconds = milliseconds(g.plan.DurationMs - g.plan.WarmupMs).Seconds()
+	result.Seconds = milliseconds(g.plan.DurationMs - g.plan.WarmupMs - g.plan.CooldownMs).Seconds()
 	result.Total = total.summary(result.Seconds)
 	for name, t := range kinds {
 		result.Kinds[name] = t.summary(result.Seconds)
--- /dev/null
+++ b/internal/mangoload/peaks_test.go
@@ -0,0 +1,47 @@
+package mangoload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPeaks guards against peaks that change the mean rate, or that are no higher than the load around them.
+func TestPeaks(t *testing.T) {
+	is := is.New(t)
+	plan := testPlan("http://x")
+	plan.DurationMs, plan.Kinds[0].Rate = 40_000, 500
+	plan.Peaks = &Peaks{PeriodMs: 2000, LengthMs: 500, Factor: 3}
+	is.NoErr(plan.check())
+	all := plan.schedule()
+	is.True(len(all) > 19_400 && len(all) < 20_600)
+	inPeak := 0
+	for _, a := range all {
+		if a.at%(2*time.Second) < 500*time.Millisecond {
+			inPeak++
+		}
+	}
+	is.True(float64(inPeak) > 0.73*float64(len(all)) && float64(inPeak) < 0.77*float64(len(all)))
+	plan.Peaks = &Peaks{PeriodMs: 2000, LengthMs: 1000, Factor: 3}
+	is.True(plan.check() != nil) // the mean cannot be kept
+}
+
+// TestCooldown guards against counting calls that end in a fleet without load.
+func TestCooldown(t *testing.T) {
+	is := is.New(t)
+	plan := testPlan("http://127.0.0.1:1")
+	plan.CooldownMs, plan.WarmupMs = 100, 100
+	is.NoErr(plan.check())
+	counted := 0
+	for _, a := range plan.schedule() {
+		if a.at >= 100*time.Millisecond && a.at < 300*time.Millisecond {
+			counted++
+		}
+	}
+	result := New(plan).Run(t.Context())
+	is.Equal(result.Total.Sent, counted)
+	is.Equal(result.Seconds, 0.2)
+	plan.CooldownMs = 300
+	is.True(plan.check() != nil) // nothing is counted
+}
--- a/internal/mangoload/plan.go
+++ b/internal/mangoload/plan.go
@@ -59,15 +59,28 @@
 	PauseMs int64
 }
 
+// Peaks are bursts at regular times. The rates of the kinds are means: outside the peaks there are as many fewer calls.
+type Peaks struct {
+	PeriodMs int64
+	// LengthMs of each period, from its beginning, is the peak.
+	LengthMs int64
+	// Factor of the mean rate during a peak; LengthMs times Factor may not be above PeriodMs.
+	Factor float64
+}
+
 // Plan says what to send.
 type Plan struct {
 	// Targets are base URLs; a call goes to one at random, and to the next one when a connection is refused.
 	Targets   []string
 	Customers []Customer
 	Kinds     []Kind
-	// WarmupMs at the beginning of DurationMs is not counted.
+	// WarmupMs at the beginning and CooldownMs at the end of DurationMs are not counted. A cool-down as long as the
+	// deadlines keeps calls that finish in an idle fleet out of the counts.
 	WarmupMs   int64
+	CooldownMs int64
 	DurationMs int64
+	// Peaks vary the load around the rates; nil means steady rates.
+	Peaks *Peaks
 	// GraceMs past its deadline a call is abandoned; 0 means 2 s.
 	GraceMs int64
 	Seed    uint64
@@ -97,8 +110,10 @@
 		return errors.New("Customers must have an entry")
 	case len(p.Kinds) == 0:
 		return errors.New("Kinds must have an entry")
-	case p.DurationMs <= p.WarmupMs:
-		return fmt.Errorf("DurationMs is %d and must be above WarmupMs %d", p.DurationMs, p.WarmupMs)
+	case p.DurationMs <= p.WarmupMs+p.CooldownMs:
+		return fmt.Errorf("DurationMs is %d and must be above WarmupMs %d and CooldownMs %d together", p.DurationMs, p.WarmupMs, p.CooldownMs)
+	case p.Peaks != nil && !p.Peaks.valid():
+		return errors.New("Peaks must have LengthMs from 1 to below PeriodMs and Factor from 1 to PeriodMs/LengthMs")
 	}
 	for _, k := range p.Kinds {
 		switch {
--- a/internal/mangoload/result.go
+++ b/internal/mangoload/result.go
@@ -51,6 +51,8 @@
 	Kinds     map[string]Group
 	Customers map[string]Group
 	Details   []string
+	// AllTokens are those of all calls, with warm-up and cool-down.
+	AllTokens int
 	// MaxSendDelayMs is how far the generator itself fell behind the intended times.
 	MaxSendDelayMs float64
 }
--- a/internal/mangoload/schedule.go
+++ b/internal/mangoload/schedule.go
@@ -27,10 +27,13 @@
 		k := &p.Kinds[i]
 		random := rand.New(rand.NewPCG(p.Seed, uint64(i)))
 		for at := 0.0; ; {
-			at += random.ExpFloat64() / k.Rate
+			at += random.ExpFloat64() / (k.Rate * p.Peaks.most())
 			if at >= milliseconds(p.DurationMs).Seconds() {
 				break
 			}
+			if p.Peaks != nil && random.Float64()*p.Peaks.most() >= p.Peaks.factor(at) {
+				continue
+			}
 			all = append(all, arrival{
 				at: time.Duration(at * float64(time.Second)), kind: k, customer: p.pick(random),
 				target: random.IntN(len(p.Targets)), prompt: k.prompt(random),
--- /dev/null
+++ b/test/bench_added_test.go
@@ -0,0 +1,114 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangobench"
+	"mangopath.org/mangopath/internal/mangoupstream"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	addedCalls  = 60
+	addedTokens = 24
+)
+
+// waitAlias waits until each entry host answers with the key of a customer of the example.
+func (f *benchFleet) waitAlias() {
+	f.t.Helper()
+	plan := f.deployment.Plan(nil, 1, f.shape())
+	for _, e := range f.entries {
+		eventually(f.t, startTimeout, e.name+" serves", func() bool {
+			a := completeAs(context.Background(), "http://"+e.callers, plan.Customers[0].Key, plan.Kinds[0].Profile, "warm up", 2)
+			return a.err == nil && a.whole
+		})
+	}
+}
+
+// benchAdded compares calls through the routers, one at a time, with a direct run of the only chain. Steps take 2 ms, so
+// that the deviation of timers stays small beside the times of the routers.
+func benchAdded(t *testing.T, report *mangobench.Report) {
+	f := newFleet(t)
+	e := f.entry("a-entry", "nieuwegein")
+	var chain []string
+	for i := range 3 {
+		from, to := stage(i)
+		chain = append(chain, f.engine(engineSpec{
+			name: fmt.Sprintf("added-%d", i), centre: "nieuwegein", version: "v1", from: from, to: to,
+			flags: []string{"--step-time", "2ms", "--trace-lines", "0"},
+		}))
+	}
+	f.publish()
+	f.declareShelter()
+	f.waitServing("tekst")
+	var calls, tokens [2][]time.Duration
+	for i := range addedCalls {
+		began := time.Now()
+		times, err := direct(chain, fmt.Sprintf("direct-%d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		calls[0] = append(calls[0], times[0].Sub(began))
+		tokens[0] = append(tokens[0], gaps(times)...)
+		began = time.Now()
+		a := complete(context.Background(), e, "tekst", "a calm young dog", addedTokens)
+		if a.err != nil || len(a.tokens) != addedTokens {
+			t.Fatalf("answer: %+v", a)
+		}
+		calls[1] = append(calls[1], a.tokens[0].Sub(began))
+		tokens[1] = append(tokens[1], gaps(a.tokens)...)
+	}
+	report.Added = append(report.Added,
+		mangobench.NewAdded("mangopath", "request, to its first token", calls[0], calls[1]),
+		mangobench.NewAdded("mangopath", "token after the first", tokens[0], tokens[1]))
+}
+
+func gaps(times []time.Time) []time.Duration {
+	var all []time.Duration
+	for i := 1; i < len(times); i++ {
+		all = append(all, times[i].Sub(times[i-1]))
+	}
+	return all
+}
+
+// direct runs a call on the stages without a router and returns the times of its tokens.
+func direct(chain []string, call string) ([]time.Time, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	client := mangoupstream.New()
+	var streams []mangoupstream.Stream
+	for i, at := range chain {
+		from, to := stage(i)
+		s, _, err := client.Open(ctx, at, &mangomessage.Open{
+			Call: call, Attempt: 1, Model: "tekst-model", Version: "v1", FromLayer: uint32(from), ToLayer: uint32(to),
+		})
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = s.Close() }()
+		streams = append(streams, s)
+	}
+	var times []time.Time
+	next := &mangomessage.Step{Text: "a calm young dog"}
+	position := uint32(0)
+	for range addedTokens {
+		var result *mangomessage.StepResult
+		for i, s := range streams {
+			from, to := stage(i)
+			next.Call, next.Attempt, next.Version, next.Position = call, 1, "v1", position
+			next.FromLayer, next.ToLayer = uint32(from), uint32(to)
+			var err error
+			if result, err = s.Step(ctx, next); err != nil {
+				return nil, err
+			}
+			next = &mangomessage.Step{Count: result.GetCount(), Hidden: result.GetHidden()}
+		}
+		position += result.GetCount()
+		next = &mangomessage.Step{Count: 1, Tokens: []uint32{result.GetToken()}}
+		times = append(times, time.Now())
+	}
+	return times, nil
+}
--- /dev/null
+++ b/test/bench_test.go
@@ -0,0 +1,178 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangobench"
+	"mangopath.org/mangopath/internal/mangoload"
+)
+
+const (
+	// runTimeout is above the length of a plan with the time for its last calls to end.
+	runTimeout = 40 * time.Second
+	// settle lets queues and caches of the run before empty.
+	settle = 500 * time.Millisecond
+	// faultAt is in the counted part of a run; outage is the time until the killed engine is back.
+	faultAt = 3 * time.Second
+	outage  = 2 * time.Second
+)
+
+// benchScope is the part of the benchmark to run, from the environment.
+type benchScope struct {
+	deployments, routers, parts []string
+	loads                       []float64
+}
+
+func words(name, standard string) []string {
+	value := os.Getenv(name)
+	if value == "" {
+		value = standard
+	}
+	return strings.Split(value, ",")
+}
+
+func readScope(t *testing.T) benchScope {
+	t.Helper()
+	if os.Getenv("MANGOPATH_BENCH") == "" {
+		t.Skip("set MANGOPATH_BENCH=1 to run the benchmark")
+	}
+	s := benchScope{
+		deployments: words("MANGOPATH_BENCH_DEPLOYMENTS", "baasje-gezocht,isartal"),
+		routers:     words("MANGOPATH_BENCH_ROUTERS", "mangopath,naive"),
+		parts:       words("MANGOPATH_BENCH_PARTS", "load,added,recovery"),
+	}
+	for _, w := range words("MANGOPATH_BENCH_LOADS", "0.7,1,1.5,2") {
+		load, err := strconv.ParseFloat(w, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.loads = append(s.loads, load)
+	}
+	return s
+}
+
+func (s benchScope) has(part string) bool {
+	for _, p := range s.parts {
+		if p == part {
+			return true
+		}
+	}
+	return false
+}
+
+// TestBench measures both routers on the deployments of the examples. It guards the objectives of the design's section
+// 15 by its tables; the figures depend on the machine, so it fails only when a router cannot be measured.
+func TestBench(t *testing.T) {
+	scope := readScope(t)
+	report := &mangobench.Report{}
+	if scope.has("load") {
+		for _, name := range scope.deployments {
+			t.Run(name, func(t *testing.T) { benchDeployment(t, scope, name, report) })
+		}
+	}
+	if scope.has("added") {
+		t.Run("added", func(t *testing.T) { benchAdded(t, report) })
+	}
+	table, err := report.Write(filepath.Join("..", "out"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Println(table)
+}
+
+func benchDeployment(t *testing.T, scope benchScope, name string, report *mangobench.Report) {
+	d, err := mangobench.ReadDeployment(filepath.Join("..", "examples", name), mangobench.Engine{MaxBatch: 4, Step: 30 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newBenchFleet(t, d)
+	f.waitAlias()
+	for _, load := range scope.loads {
+		for _, router := range scope.routers {
+			row := f.measure(router, load)
+			report.Rows = append(report.Rows, row)
+			t.Logf("%s %s %.1f: goodput %.3f small %.3f refused %.3f", name, router, load, row.Goodput, row.SmallOnTime, row.Refused)
+		}
+	}
+}
+
+// measure runs the plan of one load on one router.
+func (f *benchFleet) measure(router string, load float64) mangobench.Row {
+	f.t.Helper()
+	time.Sleep(settle)
+	urls, processes := f.router(router)
+	plan := f.deployment.Plan(urls, load, f.shape())
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		f.injectFaults()
+	}()
+	before := processorTime(f.t, processes)
+	result := f.load(plan)
+	processor := processorTime(f.t, processes) - before
+	<-faults
+	if f.steady() {
+		f.waitEngine(f.deployment.Spare())
+	}
+	return mangobench.NewRow(f.deployment, router, load, plan, result, processor)
+}
+
+// steady says whether the deployment has a steady load with faults rather than peaks.
+func (f *benchFleet) steady() bool { return f.deployment.Name == "baasje-gezocht" }
+
+func (f *benchFleet) shape() mangobench.Shape {
+	if f.steady() {
+		return mangobench.Shape{}
+	}
+	return mangobench.Shape{Peaks: &mangoload.Peaks{PeriodMs: 2500, LengthMs: 500, Factor: 2}}
+}
+
+// injectFaults kills an engine whose loss leaves the bound as it is, and starts it again.
+func (f *benchFleet) injectFaults() {
+	if !f.steady() {
+		return
+	}
+	name := f.deployment.Spare()
+	time.Sleep(faultAt)
+	f.engines[name].signal(syscall.SIGKILL)
+	<-f.engines[name].ended
+	time.Sleep(outage)
+	f.startEngine(name)
+}
+
+// load runs the load generator in a process of its own.
+func (f *benchFleet) load(plan mangoload.Plan) mangoload.Result {
+	f.t.Helper()
+	file := filepath.Join(f.dir, "plan.json")
+	data, err := json.Marshal(plan)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	var out, errs bytes.Buffer
+	command := exec.CommandContext(ctx, filepath.Join(programs, "mangostandin"), "load", "--plan", file)
+	command.Stdout, command.Stderr = &out, &errs
+	if err := command.Run(); err != nil {
+		f.t.Fatalf("load: %v: %s", err, errs.String())
+	}
+	var result mangoload.Result
+	if err := json.Unmarshal(out.Bytes(), &result); err != nil {
+		f.t.Fatal(err)
+	}
+	return result
+}
--- a/test/caller_test.go
+++ b/test/caller_test.go
@@ -29,12 +29,17 @@
 
 // complete asks an entry host for a streamed completion; it returns what arrived, whole or not.
 func complete(ctx context.Context, e *entry, name, prompt string, tokens int) answer {
+	return completeAs(ctx, "http://"+e.callers, customerKey, name, prompt, tokens)
+}
+
+// completeAs asks a router at a base URL with a customer's key.
+func completeAs(ctx context.Context, url, key, name, prompt string, tokens int) answer {
 	body, _ := json.Marshal(map[string]any{"model": name, "prompt": prompt, "max_tokens": tokens, "stream": true})
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+"/v1/completions", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	request.Header.Set("Authorization", "Bearer "+customerKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Close = true
 	request.GetBody = nil
@@ -165,8 +170,10 @@
 
 // modelProfile describes the test model at a version.
 func modelProfile(name, version string) *mangomessage.Profile {
-	return &mangomessage.Profile{Name: name, Kind: "completion", Model: "tekst-model", Version: version, Layers: layers, DeadlineMs: 60000, MaxTokens: 1000,
-		Places: []*mangomessage.Place{{DataCentre: "nieuwegein"}, {DataCentre: "houten"}}}
+	return &mangomessage.Profile{
+		Name: name, Kind: "completion", Model: "tekst-model", Version: version, Layers: layers, DeadlineMs: 60000, MaxTokens: 1000,
+		Places: []*mangomessage.Place{{DataCentre: "nieuwegein"}, {DataCentre: "houten"}},
+	}
 }
 
 // serviceProfile describes a plain service on hosts of a data centre.
