Let a daemon admit a few calls of a customer at once

Cause: with eight daemons and a burst of one call, small customers that used a quarter of their rate were refused with Limit whenever two of their calls met at one daemon. Ruled out: overload; the refusals were of kind Limit and also came at 1x.

--- a/internal/mangocustomer/limiter.go
+++ b/internal/mangocustomer/limiter.go
@@ -18,8 +18,10 @@
 	// quietAfter is the time without calls after which a daemon no longer counts as a user, so that its share goes to
 	// others; 5 s and the fading of the rate alone left 29% unused when load moved every 20 s.
 	quietAfter = 3 * time.Second
-	// minBurst lets a daemon with a small share admit single calls at once.
-	minBurst = 1
+	// minBurst lets a daemon with a small share admit a few calls at once, up to a second's worth of the whole limit. A
+	// caller's calls reach a daemon unevenly: at a burst of 1, eight daemons refused calls of customers that used a
+	// quarter of their limit.
+	minBurst = 5
 )
 
 // Limiter enforces the customers' rates across all daemons.
@@ -27,7 +29,7 @@
 // Each daemon may always use the limit divided by the number of live daemons. What the reports of the others leave
 // unused is divided among the daemons that have calls of the customer. The sum of all daemons may exceed the limit by
 // less than one limit's worth for the age of the reports, when daemons without calls get some while others use their
-// shares, and by one burst (a second's worth of its share, or one call) for each daemon.
+// shares, and by one burst (a second's worth of its share, or minBurst if that is more) for each daemon.
 type Limiter struct {
 	mu      sync.Mutex
 	daemons int
@@ -94,13 +96,13 @@
 	share := l.share(customer, s, now)
 	if s.bucket == nil {
 		s.share = share
-		s.bucket = rate.NewLimiter(rate.Limit(share), burst(share))
+		s.bucket = rate.NewLimiter(rate.Limit(share), burst(share, s.limit))
 		return
 	}
 	if share != s.share {
 		s.share = share
 		s.bucket.SetLimitAt(now, rate.Limit(share))
-		s.bucket.SetBurstAt(now, burst(share))
+		s.bucket.SetBurstAt(now, burst(share, s.limit))
 	}
 }
 
@@ -115,7 +117,7 @@
 	return min(max(even, own+unused/float64(users+silent+1)), s.limit)
 }
 
-func burst(share float64) int { return max(int(share), minBurst) }
+func burst(share, limit float64) int { return max(int(share), min(int(limit), minBurst), 1) }
 
 // Observe replaces what a peer reported. The report has all customers with a limit that have calls there.
 func (l *Limiter) Observe(peer string, usages []*mangomessage.Usage, now time.Time) {
