Forget step times of replicas that were not used lately

Cause: the meter kept the last average step time of a replica without bound. A replica whose link was slow once costs too much to be chosen, so no newer time ever arrives and it stays unused.

Change: a measured step time counts for 10 s, after which the reported one is used and the next measurement starts a new average.

--- a/internal/mangohost/meter.go
+++ b/internal/mangohost/meter.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// stepWeight is the weight of a new step time in the moving average, as a divisor.
-const stepWeight = 8
+const (
+	// stepWeight is the weight of a new step time in the moving average, as a divisor.
+	stepWeight = 8
+	// stepLife is the age past which a step time says nothing about the present. Without it a replica whose link was
+	// slow once would be avoided for good, since only calls on it would bring newer times.
+	stepLife = 10 * time.Second
+)
 
 // Meter counts calls in flight and averages step times by host; it is safe for concurrent use.
 type Meter struct {
@@ -17,6 +22,7 @@
 type counter struct {
 	inFlight atomic.Int64
 	step     atomic.Int64
+	stepAt   atomic.Int64
 	report   atomic.Int64
 	reportAt atomic.Int64
 }
@@ -41,17 +47,22 @@
 // Step takes the time of a decode step into the average; lost updates under contention are harmless.
 func (m *Meter) Step(host string, took time.Duration) {
 	c := m.counter(host)
+	now := time.Now()
 	old := c.step.Load()
-	if old == 0 {
+	if last := c.stepAt.Swap(now.UnixNano()); old == 0 || now.Sub(time.Unix(0, last)) > stepLife {
 		c.step.Store(int64(took))
 		return
 	}
 	c.step.Store(old + (int64(took)-old)/stepWeight)
 }
 
-// StepTime returns the average step time, 0 before the first step.
+// StepTime returns the average step time, 0 when no step was measured lately.
 func (m *Meter) StepTime(host string) time.Duration {
-	return time.Duration(m.counter(host).step.Load())
+	c := m.counter(host)
+	if time.Since(time.Unix(0, c.stepAt.Load())) > stepLife {
+		return 0
+	}
+	return time.Duration(c.step.Load())
 }
 
 // Report takes over the load that a reply of the host states.
