Test a switch of versions in the middle of answers

TestSwitchInMidAnswer runs 18 answers around the switch of an alias between two versions and compares each with a run without faults. It guards against an answer that mixes versions and against new calls on the old version.

--- /dev/null
+++ b/test/token_version_test.go
@@ -0,0 +1,61 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSwitchInMidAnswer switches the alias while answers run and guards against an answer that mixes two versions of a
+// model, and against calls that start on the old version after the switch is in force.
+func TestSwitchInMidAnswer(t *testing.T) {
+	const tokens, calls = 80, 6
+	is := is.New(t)
+	f := shelter(t, 1, 1)
+	f.pipeline("v2", "nieuwegein", 1)
+	f.publish()
+	declare(t, f.entries[0], change("p2", 0, profileEntry(modelProfile("tekst-v2", "v2"))))
+	f.waitServing("tekst-v2")
+	type reply struct {
+		prompt string
+		begun  time.Time
+		answer answer
+	}
+	replies := make(chan reply, 3*calls)
+	begin := func(when string) {
+		for n := range calls {
+			prompt, now := fmt.Sprintf("%s switch %d", when, n), time.Now()
+			go func() {
+				replies <- reply{prompt, now, complete(context.Background(), f.entries[0], "tekst", prompt, tokens)}
+			}()
+		}
+	}
+	begin("before")
+	time.Sleep(300 * time.Millisecond)
+	begin("just before")
+	status, body := propose(f.entries[0], change("s1", aliasRevision(t, f.entries[0], "tekst"), aliasEntry("tekst", "tekst-v2")))
+	if status != http.StatusOK {
+		t.Fatalf("switch: %d %s", status, body)
+	}
+	inForce(t, f.entries, "tekst", "v2")
+	switched := time.Now()
+	begin("after")
+	versions := map[string]int{}
+	for range 3 * calls {
+		r := <-replies
+		is.True(r.answer.whole)
+		version := "v2"
+		if r.answer.text == faultFree("v1", r.prompt, tokens) {
+			version = "v1"
+			is.True(r.begun.Before(switched)) // the old version must not answer calls after the switch
+		}
+		is.Equal(r.answer.text, faultFree(version, r.prompt, tokens))
+		versions[version]++
+	}
+	t.Logf("answers by version: %v", versions)
+	is.True(versions["v1"] >= calls && versions["v2"] >= calls)
+}
