Place profiles from the daemon

Cause: mangoplacement was not assembled, so profiles with Stages were never loaded, status said nothing about the lease, and profile switch accepted targets that nothing serves.

Ruled out: reports relayed by peers as input of a plan; they carry load figures without version and layers and renewed the age of a report, so that a daemon that is no prober of an engine never learnt its new version. The age of an engine's own report is kept apart now (mangohost, probe.go: additive changes outside placement).

Change: the holder of the lease plans from a confirmed book, the directory and fresh reads of engines that differ. A change in place rolls, and the last complete set of a profile in force is kept. Order ids differ after each accepted order, since engines carry out an id once (v1, v2, v1 got stuck). Orders that a report shows as carried out no longer block the next one for 3 s. The lease is released when the shutdown begins. Calls without a chain have the hosts of their profile read anew. profile switch asks explain first, unless --at-once or SwitchAtOnce (cmd/mangopath, additive); explain gives services a chain when they have replicas.

--- a/cmd/mangopath/profile.go
+++ b/cmd/mangopath/profile.go
@@ -33,7 +33,7 @@
 			},
 			{
 				Name: "switch", Usage: "point an alias to another profile", ArgsUsage: "NAME",
-				Flags:       []cli.Flag{&cli.StringFlag{Name: "to", Usage: "`TARGET` profile"}, dryRun, basedOn},
+				Flags:       []cli.Flag{&cli.StringFlag{Name: "to", Usage: "`TARGET` profile"}, atOnceFlag(), dryRun, basedOn},
 				Description: "Example: mangopath profile switch tekst-model --to tekst-zeist", Action: profileSwitch,
 			},
 			{
@@ -203,9 +203,13 @@
 	if e := mangoclient.Find(list, "Alias", args[0]); e == nil || e.GetRemoved() {
 		return badValue("NAME", args[0], "the name of an alias; profile put creates one")
 	}
-	if e := mangoclient.Find(list, "Profile", target); e == nil || e.GetRemoved() {
+	e := mangoclient.Find(list, "Profile", target)
+	if e == nil || e.GetRemoved() {
 		return badValue("--to", target, "the name of a profile")
 	}
+	if err := s.checkReady(ctx, c, e.GetProfile()); err != nil {
+		return err
+	}
 	alias := &mangomessage.Entry{Content: &mangomessage.Entry_Alias{Alias: &mangomessage.Alias{Name: args[0], Target: target}}}
 	return s.put(ctx, c, list, []*mangomessage.Entry{alias})
 }
--- a/internal/mangocontrol/choose.go
+++ b/internal/mangocontrol/choose.go
@@ -37,6 +37,7 @@
 			"event": "route", "call": request.Call, "customer": request.Customer, "profile": request.Profile.Name,
 			"revision": s.Book.Revision(), "replicas": len(view.Replicas),
 		}).WithError(err).Warn("no chain")
+		c.seek(request.Profile, view)
 		return mangocall.Assignment{}, &Error{Op: "choose", Kind: KindNoReplica, Err: err}
 	}
 	c.logChoice(s, request, chain)
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -132,6 +132,8 @@
 	reprobe  chan string
 	leaving  atomic.Bool
 	dropped  atomic.Uint64
+	// sought is the time of the last reads that calls without a chain caused, in Unix nanoseconds.
+	sought   atomic.Int64
 	snapshot atomic.Pointer[Snapshot]
 	confirms confirmer
 	cursors  cursors
--- a/internal/mangocontrol/fresh.go
+++ b/internal/mangocontrol/fresh.go
@@ -42,6 +42,12 @@
 	return c.now().Sub(c.Snapshot().ConfirmedAt) <= c.times.Freshness
 }
 
+// Confirm confirms the book if its last confirmation is older than the freshness bound and reports whether it is fresh.
+func (c *Controller) Confirm(ctx context.Context) bool {
+	c.refresh(ctx)
+	return c.Fresh()
+}
+
 func (c *Controller) refresh(ctx context.Context) {
 	for !c.Fresh() {
 		wait, lead := c.confirms.join(c.now())
--- a/internal/mangocontrol/probe.go
+++ b/internal/mangocontrol/probe.go
@@ -18,7 +18,8 @@
 	probeParallel = 16
 	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
-	// probeMaxAge is the age of a report past which any daemon probes, whoever the probers are.
+	// probeMaxAge is the age of an engine's own report past which any daemon probes, whoever the probers are. Relayed load
+	// figures do not tell the version and the layers.
 	probeMaxAge = 8 * time.Second
 )
 
@@ -82,7 +83,7 @@
 		return false
 	case h.State(s.At) == mangohost.StateEjected:
 		return true
-	case s.At.Sub(h.EngineAt) > probeMaxAge:
+	case s.At.Sub(h.ProbedAt) > probeMaxAge:
 		return true
 	default:
 		return c.assigned(s, h)
--- a/internal/mangocontrol/report.go
+++ b/internal/mangocontrol/report.go
@@ -54,7 +54,7 @@
 	s := c.Snapshot()
 	reply := &mangomessage.ExplainReply{Profile: profile.Name, Revision: s.Book.Revision()}
 	if profile.Kind == KindService {
-		reply.Reason = c.explainService(profile)
+		c.explainService(reply, profile)
 		return reply, nil
 	}
 	chain, err := mangochain.Choose(s.View(profile), mangochain.Request{Profile: profile, InFlight: c.meter.InFlight, Deadline: time.Minute})
@@ -73,17 +73,20 @@
 	return reply, nil
 }
 
-// explainService names the replicas among which calls are spread; empty means that there is one.
-func (c *Controller) explainService(profile *mangomessage.Profile) string {
+// explainService names the replicas among which calls are spread, or says that there is none.
+func (c *Controller) explainService(reply *mangomessage.ExplainReply, profile *mangomessage.Profile) {
 	usable := c.Usable(profile)
 	if len(usable) == 0 {
-		return "no replica of the service is usable"
+		reply.Reason = "no replica of the service is usable"
+		return
 	}
 	names := make([]string, len(usable))
 	for i, r := range usable {
 		names[i] = r.Host
 	}
-	return "calls go to the less loaded of two random replicas of " + strings.Join(names, ", ")
+	reply.Chains = []*mangomessage.ExplainedChain{{
+		Chosen: true, Reason: "calls go to the less loaded of two random replicas of " + strings.Join(names, ", "),
+	}}
 }
 
 // Status returns what this entry host knows about its control state.
@@ -103,4 +106,3 @@
 	s := c.Snapshot()
 	return s.Book.Revision() > 0 || !s.ConfirmedAt.IsZero()
 }
-
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -36,16 +36,17 @@
 	gateway    *mangogateway.Gateway
 	operators  *mangooperator.Operators
 	ready      *readiness
+	placement  *placement
 }
 
 func newDaemon(
 	settings *mangomessage.Settings, logger *logrus.Logger, controller *mangocontrol.Controller, queue *mangocustomer.Queue,
 	ledger *mangoledger.Ledger, driver *mangocall.Driver, peers *mangopeer.Client, security mangopeer.Security,
-	gateway *mangogateway.Gateway, operators *mangooperator.Operators, ready *readiness,
+	gateway *mangogateway.Gateway, operators *mangooperator.Operators, ready *readiness, placement *placement,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, controller: controller, queue: queue, ledger: ledger, driver: driver,
-		peers: peers, security: security, gateway: gateway, operators: operators, ready: ready,
+		peers: peers, security: security, gateway: gateway, operators: operators, ready: ready, placement: placement,
 	}
 }
 
@@ -87,6 +88,7 @@
 	run("control", func() error { return d.controller.Run(inner) })
 	run("slots", func() error { d.controller.ShareSlots(inner, d.queue); return nil })
 	run("ledger", func() error { return d.ledger.Run(inner) })
+	run("placement", func() error { d.placement.run(inner, ctx.Done()); return nil })
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
 	run("callers", func() error { return callers.Serve(listeners.callers) })
--- a/internal/mangodaemon/operate.go
+++ b/internal/mangodaemon/operate.go
@@ -111,6 +111,7 @@
 	queue      *mangocustomer.Queue
 	suspects   *mangosuspect.Suspects
 	ready      *readiness
+	placement  *placement
 	region     string
 }
 
@@ -124,6 +125,7 @@
 	for _, l := range r.queue.Loads() {
 		status.Queued += uint32(l.Queued)
 	}
+	status.Placing, status.FencingNumber = r.placement.tenure()
 	suspects, condemned := r.suspects.Counts(time.Now())
 	status.Suspects = uint32(suspects + condemned)
 	switch {
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -30,7 +30,7 @@
 var providers = wire.NewSet(
 	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
 	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
-	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, newDaemon,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, providePlacement, newDaemon,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
 
@@ -78,7 +78,9 @@
 	return mangoupstream.Logged(mangoupstream.NewService(mangoupstream.WithConnectTimeout(milliseconds(s.Routing.ConnectTimeout))), logger)
 }
 
-func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects { return mangosuspect.New(id.Name) }
+func provideSuspects(id mangocontrol.Identity) *mangosuspect.Suspects {
+	return mangosuspect.New(id.Name)
+}
 
 func provideController(
 	s *mangomessage.Settings, id mangocontrol.Identity, log *mangochange.Log, client *mangostore.Client, peers *mangopeer.Client,
@@ -144,18 +146,20 @@
 
 func provideOperators(
 	s *mangomessage.Settings, controller *mangocontrol.Controller, log *mangochange.Log, queue *mangocustomer.Queue,
-	suspects *mangosuspect.Suspects, registry *prometheus.Registry, logger *logrus.Logger, ready *readiness,
+	suspects *mangosuspect.Suspects, registry *prometheus.Registry, logger *logrus.Logger, ready *readiness, placement *placement,
 ) *mangooperator.Operators {
 	return mangooperator.New(s.Operators, mangooperator.Sources{
 		Book: controller, Proposer: proposer{log: log, controller: controller}, Historian: historian{controller},
-		Reporter:  reporter{controller: controller, queue: queue, suspects: suspects, ready: ready, region: s.Host.Region},
+		Reporter:  reporter{controller: controller, queue: queue, suspects: suspects, ready: ready, placement: placement, region: s.Host.Region},
 		Explainer: explainer{controller}, Directory: controller,
 	}, registry, logger)
 }
 
 func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
 
-func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) { return mangometric.New(registry) }
+func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) {
+	return mangometric.New(registry)
+}
 
 // words splits a comma-separated setting.
 func words(list []string) []string {
--- a/internal/mangodaemon/wire_gen.go
+++ b/internal/mangodaemon/wire_gen.go
@@ -44,7 +44,8 @@
 	admission := provideAdmission(controller, queue, limiter, suspects, driver, dispatcher, logger)
 	gateway := provideGateway(settings, admission, metrics, logger)
 	mangodaemonReadiness := provideReadiness()
-	operators := provideOperators(settings, controller, log, queue, suspects, registry, logger, mangodaemonReadiness)
-	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReadiness)
+	mangodaemonPlacement := providePlacement(settings, identity, budget, mangoupstreamClient, controller, metrics, logger)
+	operators := provideOperators(settings, controller, log, queue, suspects, registry, logger, mangodaemonReadiness, mangodaemonPlacement)
+	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReadiness, mangodaemonPlacement)
 	return daemon, nil
 }
--- a/internal/mangohost/host.go
+++ b/internal/mangohost/host.go
@@ -71,6 +71,8 @@
 	// Engine is the latest report of an engine, received at EngineAt; nil before the first probe.
 	Engine   *mangomessage.EngineState
 	EngineAt time.Time
+	// ProbedAt is the time of the latest report that the engine itself gave; relayed load figures do not change it.
+	ProbedAt time.Time
 	// SlowStartAt is the time at which the slow start began; zero means full share.
 	SlowStartAt time.Time
 	// Failures counts failures in a row and EjectedUntil ends the ejection that they caused.
@@ -136,7 +138,7 @@
 	if h.Engine == nil && h.SlowStartAt.IsZero() {
 		h.SlowStartAt = at
 	}
-	h.Engine, h.EngineAt, h.Refused = state, at, state.Leaving
+	h.Engine, h.EngineAt, h.ProbedAt, h.Refused = state, at, at, state.Leaving
 	return h
 }
 
--- a/internal/mangoplacement/placer.go
+++ b/internal/mangoplacement/placer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,8 @@
 	// Held reports whether the daemon holds the lease and with which number; err says why not.
 	Held(holds bool, number uint64, err error)
 	Ordered(order Order, reply *mangomessage.OrderReply, err error)
+	// Deferred is called in each round for an order that is held back.
+	Deferred(order Order)
 }
 
 // Placer gives orders while it holds the lease of its data centre.
@@ -39,9 +43,17 @@
 	lifetime time.Duration
 	timeout  time.Duration
 	fenced   map[string]bool
-	// ordered has the times of the last orders that hosts took or may have taken.
+	// pending has the last orders that hosts took or may have taken and whose effect was not yet reported.
 	mu      sync.Mutex
-	ordered map[string]time.Time
+	pending map[string]sent
+	// taken counts the orders that hosts took, which makes the ids of later orders differ from theirs.
+	taken map[string]int
+}
+
+// sent is an order with the time at which its reply came or its deadline passed.
+type sent struct {
+	order *mangomessage.Order
+	at    time.Time
 }
 
 // Option sets a property of a Placer.
@@ -71,7 +83,7 @@
 // New returns a placer of a data centre for the daemon that owner names.
 func New(store mangostore.Store, sender Sender, source Source, dataCentre, owner string, opts ...Option) *Placer {
 	p := &Placer{
-		sender: sender, source: source, observer: ignore{}, fenced: map[string]bool{}, ordered: map[string]time.Time{},
+		sender: sender, source: source, observer: ignore{}, fenced: map[string]bool{}, pending: map[string]sent{}, taken: map[string]int{},
 		interval: time.Second, lifetime: 6 * time.Second, timeout: 2 * time.Second,
 	}
 	for _, o := range opts {
@@ -119,16 +131,29 @@
 	}
 	states = maps.Clone(states)
 	for h, s := range states {
-		s.Ordered = p.ordered[h]
+		if carriedOut(s.Report, p.pending[h].order) {
+			delete(p.pending, h)
+		}
+		s.Ordered = p.pending[h].at
 		states[h] = s
 	}
 	var group sync.WaitGroup
 	for _, o := range Plan(desired, states, time.Now()) {
+		if o.Held {
+			p.observer.Deferred(o)
+			continue
+		}
 		group.Go(func() { p.give(ctx, o) })
 	}
 	group.Wait()
 }
 
+// carriedOut reports whether an engine holds what an order asks for.
+func carriedOut(s *mangomessage.EngineState, order *mangomessage.Order) bool {
+	return order != nil && s.GetLoading() == "" && s.GetModel() == order.GetModel() && s.GetVersion() == order.GetVersion() &&
+		s.GetFromLayer() == order.GetFromLayer() && s.GetToLayer() == order.GetToLayer() && slices.Equal(s.GetAdapters(), order.GetAdapters())
+}
+
 // outranked reports whether hosts have seen a higher number, from a later holder or before a restore of the store.
 func (p *Placer) outranked(states map[string]State) bool {
 	for _, s := range states {
@@ -142,6 +167,11 @@
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	o.Order.FencingNumber = p.tenure.fence
+	p.mu.Lock()
+	// An engine carries out an id once. A host that came back to an earlier state needs a new id for the same order,
+	// while an order whose reply was lost is repeated under its own.
+	o.Order.Id += fmt.Sprintf("#%d.%d", p.tenure.fence, p.taken[o.Host.Name])
+	p.mu.Unlock()
 	if !p.tenure.allows(time.Now(), p.fenced[o.Host.Kind]) {
 		p.observer.Ordered(o, nil, &Error{Op: "Order", Kind: KindNotHolder, Err: errors.New("not the time for this order")})
 		return
@@ -149,7 +179,10 @@
 	reply, err := p.sender.Order(ctx, o.Host.Address, o.Order)
 	if err != nil || reply.GetAccepted() {
 		p.mu.Lock()
-		p.ordered[o.Host.Name] = time.Now()
+		p.pending[o.Host.Name] = sent{order: o.Order, at: time.Now()}
+		if err == nil {
+			p.taken[o.Host.Name]++
+		}
 		p.mu.Unlock()
 	}
 	p.observer.Ordered(o, reply, err)
@@ -160,3 +193,5 @@
 func (ignore) Held(bool, uint64, error) {}
 
 func (ignore) Ordered(Order, *mangomessage.OrderReply, error) {}
+
+func (ignore) Deferred(Order) {}
--- a/internal/mangoplacement/plan.go
+++ b/internal/mangoplacement/plan.go
@@ -22,7 +22,8 @@
 type Desired struct {
 	DataCentre string
 	Hosts      []Host
-	// Profiles that are in use; those without Stages or without a Place in the data centre are ignored.
+	// Profiles of completions that are in force. Those without Stages or without a Place in the data centre get no orders,
+	// but a complete set of replicas that serves one is kept.
 	Profiles []*mangomessage.Profile
 	// MaxLoads bounds the loads at a time, so that weight downloads stay within the rate of the weights store.
 	MaxLoads int
@@ -45,9 +46,13 @@
 
 // Order is an order to one host.
 type Order struct {
-	Host   Host
-	Order  *mangomessage.Order
-	Reason string
+	Host Host
+	// Profile that asks for the order.
+	Profile string
+	Order   *mangomessage.Order
+	Reason  string
+	// Held orders are not to be sent; Reason says what is in the way.
+	Held bool
 }
 
 // target is the range that a host is to hold.
@@ -56,30 +61,47 @@
 	from, to uint32
 }
 
-// Plan returns the orders to give now, at most one for each host. Hosts without a fresh report, and those that are
-// loading, get none. Repeating a plan on the same state gives the same orders.
+// Plan returns the orders to give now, at most one for each host, and those that are held back. Hosts without a fresh
+// report, and those that are loading, get none. Repeating a plan on the same state gives the same orders.
 func Plan(desired Desired, states map[string]State, now time.Time) []Order {
 	targets := assign(desired)
-	loads := 0
-	for _, s := range states {
-		if s.loading(now) {
-			loads++
+	r := newRoll(desired, states, targets, now)
+	hosts := slices.DeleteFunc(slices.Clone(desired.Hosts), func(h Host) bool {
+		s, ok := states[h.Name]
+		t, wanted := targets[h.Name]
+		return !ok || !wanted || !h.Usable || now.Sub(s.At) > maxStateAge ||
+			s.Report.GetLeaving() || s.loading(now) || holds(s.Report, t)
+	})
+	r.order(hosts)
+	var orders []Order
+	for _, h := range hosts {
+		o := load(h, targets[h.Name], states[h.Name].Report)
+		ok, held := r.allows(h.Name)
+		switch {
+		case ok:
+			r.start(h.Name)
+			orders = append(orders, o)
+		case held != "":
+			o.Held, o.Reason = true, o.Reason+"; "+held
+			orders = append(orders, o)
 		}
 	}
-	var orders []Order
+	return orders
+}
+
+// Unsettled returns the hosts that do not hold what they are to hold, as far as is known, or load. Their reports should
+// be read anew before a plan.
+func Unsettled(desired Desired, states map[string]State) []string {
+	targets := assign(desired)
+	var names []string
 	for _, h := range desired.Hosts {
-		s, ok := states[h.Name]
 		t, wanted := targets[h.Name]
-		if !ok || !wanted || !h.Usable || now.Sub(s.At) > maxStateAge {
-			continue
-		}
-		if s.Report.GetLeaving() || s.loading(now) || holds(s.Report, t) || loads >= desired.MaxLoads {
-			continue
+		s, ok := states[h.Name]
+		if wanted && h.Usable && (!ok || !holds(s.Report, t)) {
+			names = append(names, h.Name)
 		}
-		loads++
-		orders = append(orders, load(h, t, s.Report))
 	}
-	return orders
+	return names
 }
 
 func (s State) loading(now time.Time) bool {
@@ -120,7 +142,7 @@
 }
 
 func holds(s *mangomessage.EngineState, t target) bool {
-	return s.GetModel() == t.profile.GetModel() && s.GetVersion() == t.profile.GetVersion() &&
+	return s.GetLoading() == "" && s.GetModel() == t.profile.GetModel() && s.GetVersion() == t.profile.GetVersion() &&
 		s.GetFromLayer() == t.from && s.GetToLayer() == t.to && slices.Equal(s.GetAdapters(), t.profile.GetAdapters())
 }
 
@@ -130,7 +152,7 @@
 	wanted := fmt.Sprintf("%s/%s%v[%d,%d)", p.GetModel(), p.GetVersion(), p.GetAdapters(), t.from, t.to)
 	present := fmt.Sprintf("%s/%s%v[%d,%d)", s.GetModel(), s.GetVersion(), s.GetAdapters(), s.GetFromLayer(), s.GetToLayer())
 	return Order{
-		Host: h,
+		Host: h, Profile: p.GetName(),
 		Order: &mangomessage.Order{
 			Id: h.Name + ":" + wanted + "<" + present, Action: "Load", Model: p.GetModel(), Version: p.GetVersion(),
 			Adapters: p.GetAdapters(), FromLayer: t.from, ToLayer: t.to, Role: s.GetRole(),
@@ -145,7 +167,7 @@
 	for n := 0; n+1 < len(stages); n++ {
 		held := slices.ContainsFunc(places(p, dataCentre), func(h string) bool {
 			s, ok := states[h]
-			return ok && s.Report.GetLoading() == "" && holds(s.Report, target{profile: p, from: stages[n], to: stages[n+1]})
+			return ok && holds(s.Report, target{profile: p, from: stages[n], to: stages[n+1]})
 		})
 		if !held {
 			return false
--- /dev/null
+++ b/test/order_test.go
@@ -0,0 +1,348 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// quickPlacement makes placement act within the times of a test.
+var quickPlacement = []string{"Placement.Interval=100ms", "Placement.LeaseTime=2s", "Placement.OrderTimeout=300ms"}
+
+// emptyEngines starts engines that hold nothing and returns their names and addresses; each is behind a proxy if proxied.
+func (f *fleet) emptyEngines(n int, through bool, flags ...string) (names []string, addresses map[string]string, proxies []proxied) {
+	f.t.Helper()
+	addresses = map[string]string{}
+	flags = append([]string{"--model", "", "--lag", "0s", "--weights-time", "300ms"}, flags...)
+	for i := range n {
+		spec := engineSpec{name: fmt.Sprintf("engine-%d", i), centre: "nieuwegein", flags: flags}
+		if through {
+			spec.via = address(f.t)
+		}
+		at := f.engine(spec)
+		if through {
+			p := proxied{name: spec.name, engine: at, admin: address(f.t)}
+			start(f.t, "proxy-"+p.name, "mangostandin", "proxy", "--listen", spec.via, "--target", at, "--admin", p.admin)
+			eventually(f.t, startTimeout, "proxy answers", func() bool { return answers("http://" + spec.via + "/v1/state") })
+			proxies = append(proxies, p)
+		}
+		names, addresses[spec.name] = append(names, spec.name), at
+	}
+	return names, addresses, proxies
+}
+
+// staged is a profile whose placement is up to the daemons.
+func staged(version string, hosts []string) *mangomessage.Profile {
+	p := modelProfile("tekst-v1", version)
+	p.Stages = []uint32{0, 4, 8, layers}
+	p.Places = []*mangomessage.Place{{DataCentre: "nieuwegein", Hosts: hosts}}
+	return p
+}
+
+func engineState(address string) *mangomessage.EngineState {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s := &mangomessage.EngineState{}
+	_, data, _, err := send(ctx, http.MethodGet, "http://"+address+"/v1/state", nil, nil)
+	if err != nil || json.Unmarshal(data, s) != nil {
+		return nil
+	}
+	return s
+}
+
+// watcher samples what engines hold and load.
+type watcher struct {
+	stop  chan struct{}
+	ended chan struct{}
+	// loads counts the loads of each engine, most is the highest number at a time and ofStage that for one stage.
+	loads         map[string]int
+	most, ofStage int
+	// gaps counts samples without a complete set of replicas of one version, after the first complete one.
+	gaps, samples int
+}
+
+func watch(addresses map[string]string, names []string) *watcher {
+	w := &watcher{stop: make(chan struct{}), ended: make(chan struct{}), loads: map[string]int{}}
+	go func() {
+		defer close(w.ended)
+		before := map[string]string{}
+		complete := false
+		for {
+			select {
+			case <-w.stop:
+				return
+			case <-time.After(pollPause):
+				complete = w.sample(addresses, names, before, complete)
+			}
+		}
+	}()
+	return w
+}
+
+func (w *watcher) sample(addresses map[string]string, names []string, before map[string]string, complete bool) bool {
+	states := make([]*mangomessage.EngineState, len(names))
+	var group sync.WaitGroup
+	for i, n := range names {
+		group.Go(func() { states[i] = engineState(addresses[n]) })
+	}
+	group.Wait()
+	loading, byStage, ranges := 0, map[int]int{}, map[string]map[uint32]bool{}
+	for i, s := range states {
+		if s.GetLoading() != "" {
+			loading++
+			byStage[i%3]++
+			if before[names[i]] == "" {
+				w.loads[names[i]]++
+			}
+		} else if s.GetToLayer() > 0 {
+			if ranges[s.Version] == nil {
+				ranges[s.Version] = map[uint32]bool{}
+			}
+			ranges[s.Version][s.FromLayer] = true
+		}
+		before[names[i]] = s.GetLoading()
+	}
+	w.samples++
+	w.most = max(w.most, loading)
+	whole := false
+	for _, r := range ranges {
+		whole = whole || len(r) == 3
+	}
+	for _, n := range byStage {
+		w.ofStage = max(w.ofStage, n)
+	}
+	if complete && !whole {
+		w.gaps++
+	}
+	return complete || whole
+}
+
+func (w *watcher) end() {
+	close(w.stop)
+	<-w.ended
+}
+
+// placedFleet starts entry hosts over empty engines with a profile whose stages have to be loaded, and waits for it.
+func placedFleet(t *testing.T, engines int, through bool, flags, settings []string) (*fleet, []string, map[string]string, []proxied) {
+	t.Helper()
+	f := newFleet(t)
+	for i := range 2 {
+		f.entry(entryName(i), "nieuwegein", append(append([]string{}, quickPlacement...), settings...)...)
+	}
+	names, addresses, proxies := f.emptyEngines(engines, through, flags...)
+	f.publish()
+	declare(t, f.entries[0], change("c1", 0, customerEntry("shelter", digestOf(customerKey))))
+	return f, names, addresses, proxies
+}
+
+func placedStatus(e *entry) (placing bool, number json.Number) {
+	_, body, err := operate(e, http.MethodGet, "/v1/status", nil)
+	var s struct {
+		Placing       bool
+		FencingNumber json.Number
+	}
+	if err != nil || json.Unmarshal(body, &s) != nil {
+		return false, ""
+	}
+	return s.Placing, s.FencingNumber
+}
+
+// holder waits for the entry host that holds the placement lease.
+func holder(t *testing.T, entries []*entry) (held, other *entry) {
+	t.Helper()
+	eventually(t, 10*time.Second, "an entry host places", func() bool {
+		for i, e := range entries {
+			if placing, _ := placedStatus(e); placing {
+				held, other = e, entries[(i+1)%len(entries)]
+				return true
+			}
+		}
+		return false
+	})
+	return held, other
+}
+
+// profileRevision returns the revision of the placed profile.
+func profileRevision(t *testing.T, e *entry) uint64 {
+	t.Helper()
+	_, body, err := operate(e, http.MethodGet, "/v1/entries?Kind=Profile", nil)
+	var reply struct {
+		Entries []struct{ Revision json.Number }
+	}
+	if err != nil || json.Unmarshal(body, &reply) != nil || len(reply.Entries) == 0 {
+		t.Fatalf("entries: %v %s", err, body)
+	}
+	n, _ := reply.Entries[0].Revision.Int64()
+	return uint64(n)
+}
+
+// Guards against profiles that ask for layers which nobody loads, against more loads at a time than the weights store
+// takes, and against a lease that stays with an entry host that shut down.
+func TestEmptyEnginesAreLoadedAndServe(t *testing.T) {
+	is := is.New(t)
+	f, names, addresses, _ := placedFleet(t, 6, false, nil, []string{"Placement.WeightRate=2"})
+	w := watch(addresses, names)
+	begin := time.Now()
+	declare(t, f.entries[0], change("p1", 0, profileEntry(staged("v1", names))))
+	eventually(t, 20*time.Second, "all engines loaded", func() bool {
+		for _, n := range names {
+			if engineState(addresses[n]).GetVersion() != "v1" {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("loaded after %v", time.Since(begin))
+	for _, e := range f.entries {
+		eventually(t, 5*time.Second, e.name+" serves", func() bool {
+			return complete(context.Background(), e, "tekst-v1", "x", 4).text == faultFree("v1", "x", 4)
+		})
+	}
+	w.end()
+	t.Logf("most loads at a time %d, loads %v", w.most, w.loads)
+	is.True(w.most <= 2)
+	for _, n := range names {
+		is.Equal(w.loads[n], 1)
+	}
+	held, other := holder(t, f.entries)
+	is.True(strings.Contains(held.log.String(), "event=placement "))
+	begin = time.Now()
+	held.signal(syscall.SIGTERM)
+	eventually(t, 1500*time.Millisecond, "lease passed on before it ends by itself", func() bool {
+		placing, _ := placedStatus(other)
+		return placing
+	})
+	t.Logf("lease passed on after %v", time.Since(begin))
+	is.Equal(held.wait(10*time.Second), 0)
+}
+
+// Guards against a holder that was paused past its lease and brings engines back to a profile that is no longer in
+// force, for engines that refuse an old fencing number and for those that ignore it.
+func TestPausedHolderOrdersNothingOld(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fenced %v", fenced), func(t *testing.T) {
+			settings := []string{"Placement.WeightRate=6"}
+			if fenced {
+				settings = append(settings, "Placement.FencedKinds=a100")
+			}
+			f, names, addresses, _ := placedFleet(t, 3, false, []string{fmt.Sprintf("--fenced=%v", fenced)}, settings)
+			declare(t, f.entries[0], change("p1", 0, profileEntry(staged("v1", names))))
+			f.waitServing("tekst-v1")
+			for round, version := range []string{"v2", "v1", "v3"} {
+				held, other := holder(t, f.entries)
+				_, before := placedStatus(held)
+				held.signal(syscall.SIGSTOP)
+				declare(t, other, change(fmt.Sprintf("r%d", round), profileRevision(t, other), profileEntry(staged(version, names))))
+				took := eventually(t, 15*time.Second, "other entry host serves "+version, func() bool {
+					return complete(context.Background(), other, "tekst-v1", "x", 4).text == faultFree(version, "x", 4)
+				})
+				held.signal(syscall.SIGCONT)
+				_, after := placedStatus(other)
+				t.Logf("%s serves after %v, fencing number %s after %s", version, took, after, before)
+				eventually(t, changeBound, "resumed entry host serves "+version, func() bool {
+					return complete(context.Background(), held, "tekst-v1", "x", 4).text == faultFree(version, "x", 4)
+				})
+				f.stays("tekst-v1", version, f.entries, 2*time.Second)
+				for _, n := range names {
+					is.New(t).Equal(engineState(addresses[n]).GetVersion(), version)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an order whose reply is lost being given up, or carried out twice.
+func TestLostReplyOfOrder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults map[string]any
+		lasts  time.Duration
+	}{
+		{"replies dropped", map[string]any{"DropReplies": 3}, 0},
+		{"replies held back", map[string]any{"CutToCaller": true}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, names, addresses, proxies := placedFleet(t, 3, true, nil, []string{"Placement.WeightRate=3"})
+			declare(t, f.entries[0], change("p1", 0, profileEntry(staged("v1", names))))
+			f.waitServing("tekst-v1")
+			w := watch(addresses, names)
+			seen := profileRevision(t, f.entries[0])
+			for _, p := range proxies {
+				p.set(t, c.faults)
+			}
+			declare(t, f.entries[0], change("p2", seen, profileEntry(staged("v2", names))))
+			if c.lasts > 0 {
+				time.Sleep(c.lasts)
+				for _, p := range proxies {
+					p.set(t, map[string]any{})
+				}
+			}
+			f.waitServing("tekst-v1")
+			f.stays("tekst-v1", "v2", f.entries, 5*time.Second) // longer than an order counts as pending
+			w.end()
+			lost := 0
+			for _, e := range f.entries {
+				for line := range strings.Lines(e.log.String()) {
+					if strings.Contains(line, "event=placement ") {
+						t.Log(line)
+					}
+				}
+				lost += strings.Count(e.log.String(), "placement order without reply")
+			}
+			t.Logf("orders without reply %d, loads %v", lost, w.loads)
+			is.True(lost > 0)
+			for _, n := range names {
+				is.Equal(w.loads[n], 1)
+			}
+		})
+	}
+}
+
+// Guards against a change in place that takes away all replicas of a range while another could stay.
+func TestChangeInPlaceRolls(t *testing.T) {
+	is := is.New(t)
+	f, names, addresses, _ := placedFleet(t, 6, false, nil, []string{"Placement.WeightRate=6"})
+	declare(t, f.entries[0], change("p1", 0, profileEntry(staged("v1", names))))
+	f.waitServing("tekst-v1")
+	eventually(t, 20*time.Second, "all engines loaded", func() bool {
+		for _, n := range names {
+			if engineState(addresses[n]).GetVersion() != "v1" {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(4 * time.Second) // the last orders of the first load are settled
+	w := watch(addresses, names)
+	declare(t, f.entries[0], change("p2", profileRevision(t, f.entries[0]), profileEntry(staged("v2", names))))
+	begin, refused := time.Now(), 0
+	eventually(t, 30*time.Second, "all engines changed", func() bool {
+		for _, e := range f.entries {
+			if a := complete(context.Background(), e, "tekst-v1", "x", 2); !a.whole {
+				refused++
+			}
+		}
+		for _, n := range names {
+			if engineState(addresses[n]).GetVersion() != "v2" {
+				return false
+			}
+		}
+		return true
+	})
+	w.end()
+	t.Logf("changed after %v, most loads of one stage %d, gaps %d of %d samples, calls refused meanwhile %d",
+		time.Since(begin), w.ofStage, w.gaps, w.samples, refused)
+	is.Equal(w.ofStage, 1)
+	is.Equal(w.gaps, 0)
+}
