--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -38,16 +38,19 @@
 	operators  *mangooperator.Operators
 	reporter   reporter
 	metrics    *mangometric.Metrics
+	placement  *placement
 }
 
 func newDaemon(
 	settings *mangomessage.Settings, logger *logrus.Logger, controller *mangocontrol.Controller, queue *mangocustomer.Queue,
 	ledger *mangoledger.Ledger, driver *mangocall.Driver, peers *mangopeer.Client, security mangopeer.Security,
 	gateway *mangogateway.Gateway, operators *mangooperator.Operators, reporter reporter, metrics *mangometric.Metrics,
+	placement *placement,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, controller: controller, queue: queue, ledger: ledger, driver: driver,
 		peers: peers, security: security, gateway: gateway, operators: operators, reporter: reporter, metrics: metrics,
+		placement: placement,
 	}
 }
 
@@ -90,6 +93,7 @@
 	run("slots", func() error { d.controller.ShareSlots(inner, d.queue); return nil })
 	run("gauges", func() error { d.reporter.gauges(inner, d.metrics); return nil })
 	run("ledger", func() error { return d.ledger.Run(inner) })
+	run("placement", func() error { d.placement.run(inner, ctx.Done()); return nil })
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
 	run("callers", func() error { return callers.Serve(listeners.callers) })
--- a/internal/mangodaemon/operate.go
+++ b/internal/mangodaemon/operate.go
@@ -109,6 +109,7 @@
 	queue      *mangocustomer.Queue
 	suspects   *mangosuspect.Suspects
 	ready      *readiness
+	placement  *placement
 	region     string
 }
 
@@ -122,6 +123,7 @@
 	for _, l := range r.queue.Loads() {
 		status.Queued += uint32(l.Queued)
 	}
+	status.Placing, status.FencingNumber = r.placement.tenure()
 	suspects, condemned := r.suspects.Counts(time.Now())
 	status.Suspects = uint32(suspects + condemned)
 	switch {
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -1,6 +1,7 @@
 package mangodaemon
 
 import (
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -151,9 +152,11 @@
 
 func provideReporter(
 	s *mangomessage.Settings, controller *mangocontrol.Controller, queue *mangocustomer.Queue, suspects *mangosuspect.Suspects,
+	placement *placement,
 ) reporter {
 	return reporter{
-		controller: controller, queue: queue, suspects: suspects, region: s.Host.Region, ready: &readiness{started: time.Now()},
+		controller: controller, queue: queue, suspects: suspects, placement: placement, region: s.Host.Region,
+		ready: &readiness{started: time.Now()},
 	}
 }
 
@@ -162,3 +165,16 @@
 func provideMetrics(registry prometheus.Registerer) (*mangometric.Metrics, error) {
 	return mangometric.New(registry)
 }
+
+// words splits a comma-separated setting.
+func words(list []string) []string {
+	var all []string
+	for _, l := range list {
+		for _, w := range strings.Split(l, ",") {
+			if w = strings.TrimSpace(w); w != "" {
+				all = append(all, w)
+			}
+		}
+	}
+	return all
+}
--- a/internal/mangodaemon/wire.go
+++ b/internal/mangodaemon/wire.go
@@ -14,7 +14,7 @@
 var providers = wire.NewSet(
 	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
 	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
-	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, newDaemon,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, providePlacement, newDaemon,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
 
--- a/internal/mangodaemon/wire_gen.go
+++ b/internal/mangodaemon/wire_gen.go
@@ -45,9 +45,10 @@
 	dispatcher := provideDispatcher(settings, service, controller, ledger, mangopeerClient)
 	admission := provideAdmission(controller, queue, limiter, suspects, driver, dispatcher, logger)
 	gateway := provideGateway(settings, admission, metrics, logger)
-	mangodaemonReporter := provideReporter(settings, controller, queue, suspects)
+	mangodaemonPlacement := providePlacement(settings, identity, budget, mangoupstreamClient, controller, metrics, logger)
+	mangodaemonReporter := provideReporter(settings, controller, queue, suspects, mangodaemonPlacement)
 	operators := provideOperators(settings, controller, log, registry, logger, mangodaemonReporter)
-	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReporter, metrics)
+	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReporter, metrics, mangodaemonPlacement)
 	return daemon, nil
 }
 
@@ -57,5 +58,5 @@
 var providers = wire.NewSet(
 	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
 	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
-	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, newDaemon, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReporter, providePlacement, newDaemon, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
