Estimate service times for each profile of a pool

Cause: profiles of one pool have priorities, and engines run those of higher priority first, so that their tokens come in 152 ms and those of the others in 185 ms and more. Change: requests name a class, the profile, and the estimate is kept by class; the admission sets it (one field in internal/mangoadmission).

--- a/internal/mangoadmission/admission.go
+++ b/internal/mangoadmission/admission.go
@@ -110,7 +110,7 @@
 	}
 	release, err := a.queue.Acquire(ctx, mangocustomer.Request{
 		Customer: c.Customer, Weight: customer.Weight, Profile: mangocontrol.Pool(profile),
-		Cost: float64(call.MaxTokens), Deadline: call.Deadline,
+		Class: profile.Name, Cost: float64(call.MaxTokens), Deadline: call.Deadline,
 	})
 	if err != nil {
 		return mangocall.Result{}, err
--- a/internal/mangocontrol/slots.go
+++ b/internal/mangocontrol/slots.go
@@ -101,7 +101,8 @@
 
 // push adds the present number of calls and returns the one of shareAge ago.
 func (h history) push(pool string, own int) int {
-	kept := append(h[pool], own)
+	h[pool] = append(h[pool], own)
+	kept := h[pool]
 	if extra := len(kept) - int(shareAge/slotInterval) - 1; extra > 0 {
 		kept = kept[extra:]
 	}
--- a/internal/mangocustomer/central_test.go
+++ b/internal/mangocustomer/central_test.go
@@ -122,7 +122,7 @@
 				}
 			case op < 8 && c.running > 0:
 				c.running--
-				q.releaser(q.lanes["p"], 1)()
+				q.releaser(&waiter{lane: q.lanes["p"], cost: 1})()
 			case op == 8 && len(c.waiting) > 0:
 				n := rapid.IntRange(0, len(c.waiting)-1).Draw(t, "cancel")
 				id := c.waiting[n].id
--- a/internal/mangocustomer/flow.go
+++ b/internal/mangocustomer/flow.go
@@ -9,6 +9,7 @@
 
 // waiter is a queued call. Its fields are guarded by the queue's lock until ready is closed.
 type waiter struct {
+	class    string
 	lane     *lane
 	flow     *flow
 	deadline time.Time
--- a/internal/mangocustomer/lane.go
+++ b/internal/mangocustomer/lane.go
@@ -8,6 +8,8 @@
 const (
 	// serviceShare is the share of a new service time in the estimate.
 	serviceShare = 0.1
+	// cutFactor is what a call that was cut off counts by the greater of its time and the estimate.
+	cutFactor = 1.25
 	// spareFlows is the number of flows that are kept at least before those without calls are looked for.
 	spareFlows = 64
 )
@@ -26,12 +28,14 @@
 	sweepAt int
 	active  flows
 	share   float64
-	// service is the mean time of a call and pace that of one unit of cost.
+	// service is the mean time of a call and paces those of one unit of cost by class.
 	service time.Duration
-	pace    time.Duration
+	paces   map[string]time.Duration
 }
 
-func newLane() *lane { return &lane{weight: 1, flows: map[string]*flow{}, sweepAt: spareFlows} }
+func newLane() *lane {
+	return &lane{weight: 1, flows: map[string]*flow{}, sweepAt: spareFlows, paces: map[string]time.Duration{}}
+}
 
 // add queues a call in the flow of its customer.
 func (l *lane) add(w *waiter, customer string, weight float64) {
@@ -109,17 +113,29 @@
 	return time.Duration(turns * float64(l.service) / float64(l.slots))
 }
 
-// needs estimates the service time of a call with this cost.
-func (l *lane) needs(cost float64) time.Duration { return time.Duration(cost * float64(l.pace)) }
+// needs estimates the service time of a call; before the first of its class it is the mean of all.
+func (l *lane) needs(w *waiter) time.Duration {
+	if pace := l.paces[w.class]; pace > 0 {
+		return time.Duration(w.cost * float64(pace))
+	}
+	return l.service
+}
 
-// ended notes the service time of a call.
-func (l *lane) ended(took time.Duration, cost float64) {
+// ended notes the service time of a call. One that was cut off at its deadline would have taken longer; counting it like
+// others would let the estimate fall below what any call needs, and more calls start that are cut off.
+func (l *lane) ended(w *waiter, took time.Duration, cut bool) {
 	l.running--
-	pace := time.Duration(float64(took) / cost)
+	pace := time.Duration(float64(took) / w.cost)
+	known, ok := l.paces[w.class]
+	if cut {
+		pace = time.Duration(cutFactor * float64(max(pace, known)))
+	}
+	if !ok {
+		known = pace
+	}
+	l.paces[w.class] = known + time.Duration(serviceShare*float64(pace-known))
 	if l.service == 0 {
-		l.service, l.pace = took, pace
-		return
+		l.service = took
 	}
 	l.service += time.Duration(serviceShare * float64(took-l.service))
-	l.pace += time.Duration(serviceShare * float64(pace-l.pace))
 }
--- a/internal/mangocustomer/queue.go
+++ b/internal/mangocustomer/queue.go
@@ -92,7 +92,7 @@
 		return nil, failed
 	}
 	if w.ready == nil {
-		return q.releaser(w.lane, w.cost), nil
+		return q.releaser(w), nil
 	}
 	var expired <-chan time.Time
 	if !w.deadline.IsZero() {
@@ -110,7 +110,7 @@
 	if w.refused != nil {
 		return nil, w.refused
 	}
-	return q.releaser(w.lane, w.cost), nil
+	return q.releaser(w), nil
 }
 
 // enter gives the call a slot, which a nil channel shows, or a place in the queue.
@@ -121,7 +121,7 @@
 	if l == nil {
 		return nil, refuse(mangocall.KindNoUpstream, time.Second, "the profile has no capacity here")
 	}
-	w := &waiter{lane: l, deadline: r.Deadline, cost: r.Cost, index: -1}
+	w := &waiter{lane: l, class: r.Class, deadline: r.Deadline, cost: r.Cost, index: -1}
 	if w.cost <= 0 {
 		w.cost = 1
 	}
@@ -149,7 +149,7 @@
 func (q *Queue) admit(w *waiter, r Request, weight float64, now time.Time) *mangocall.Error {
 	l := w.lane
 	wait := l.wait(r.Customer, weight, r.Deadline)
-	if !r.Deadline.IsZero() && now.Add(wait+l.needs(w.cost)).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+l.needs(w)).After(r.Deadline) {
 		return refuse(mangocall.KindOverload, wait, "the estimated wait exceeds the deadline")
 	}
 	if q.queued < q.maxQueue {
@@ -220,7 +220,7 @@
 			return
 		}
 		w := l.active[0].calls[0]
-		if !w.deadline.IsZero() && now.Add(time.Duration(leastShare*float64(l.needs(w.cost)))).After(w.deadline) {
+		if !w.deadline.IsZero() && now.Add(time.Duration(leastShare*float64(l.needs(w)))).After(w.deadline) {
 			q.drop(w, refuse(mangocall.KindDeadline, 0, "the deadline cannot be met any more"))
 			continue
 		}
@@ -244,13 +244,13 @@
 	return due
 }
 
-func (q *Queue) releaser(l *lane, cost float64) func() {
+func (q *Queue) releaser(w *waiter) func() {
 	began := time.Now()
 	return sync.OnceFunc(func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		now := time.Now()
-		l.ended(now.Sub(began), cost)
+		w.lane.ended(w, now.Sub(began), !w.deadline.IsZero() && !now.Before(w.deadline))
 		q.running--
 		q.dispatch(now)
 	})
--- a/internal/mangocustomer/request.go
+++ b/internal/mangocustomer/request.go
@@ -14,6 +14,8 @@
 	// Weight is the customer's share under contention; 0 means 1.
 	Weight  uint32
 	Profile string
+	// Class names calls of the profile with the same time for a unit of Cost; upstreams run some before others.
+	Class string
 	// Cost is the expected work relative to other calls of the profile, such as tokens; 0 means 1.
 	Cost float64
 	// Deadline is the time by which the whole answer must be there; zero means none.
--- a/internal/mangocustomer/scale_test.go
+++ b/internal/mangocustomer/scale_test.go
@@ -120,7 +120,7 @@
 	for b.Loop() {
 		i++
 		_, _ = q.enter(Request{Customer: list[i%many].GetName(), Profile: "p", Deadline: now.Add(time.Hour)}, now)
-		q.releaser(q.lanes["p"], 1)()
+		q.releaser(&waiter{lane: q.lanes["p"], cost: 1})()
 	}
 }
 
