Give customers below their share credit and estimate waits by tags

Cause: a customer that returned to the queue was taken to wait for a call of each unit of the others' weights, although its tag put it first, so that small customers were refused with Overload. And a small customer's second of two close calls waited for a round of all others. Ruled out: the rate limits; these refusals have kind Limit. Change: the wait is the work queued with lower tags, in cost; a customer that uses less than its share may be three calls ahead. The list in the test gives the same credit and, like the queue, starts anew when nothing is queued; before, it kept the tags, which had the same effect without credit.

--- a/internal/mangocustomer/central_test.go
+++ b/internal/mangocustomer/central_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// central is one list with start-time fair queueing by scanning; it never forgets a customer.
+// central is one list with start-time fair queueing by scanning; it forgets customers only when nothing is queued.
 type central struct {
 	slots, running int
 	virtual        float64
@@ -39,7 +39,7 @@
 		return true
 	}
 	if !c.has(p.customer) {
-		c.tags[p.customer] = max(c.tags[p.customer], c.virtual)
+		c.tags[p.customer] = max(c.tags[p.customer], c.virtual-creditCalls/p.weight)
 	}
 	c.waiting = append(c.waiting, p)
 	return false
@@ -48,9 +48,7 @@
 func (c *central) remove(i int) {
 	c.waiting = append(c.waiting[:i:i], c.waiting[i+1:]...)
 	if len(c.waiting) == 0 {
-		for _, tag := range c.tags {
-			c.virtual = max(c.virtual, tag)
-		}
+		c.virtual, c.tags = 0, map[string]float64{}
 	}
 }
 
--- a/internal/mangocustomer/flow.go
+++ b/internal/mangocustomer/flow.go
@@ -26,8 +26,11 @@
 	weight   float64
 	// start is the virtual start time of its next call.
 	start float64
-	calls calls
-	index int
+	// credit is how far its start time may lie behind the lane's; cost is that of its queued calls.
+	credit float64
+	cost   float64
+	calls  calls
+	index  int
 }
 
 type calls []*waiter
@@ -61,15 +64,15 @@
 	return w
 }
 
-// before returns the number of calls that run before one with this deadline.
-func (c calls) before(deadline time.Time) int {
-	n := 0
+// costBefore returns the cost of the calls that run before one with this deadline.
+func (c calls) costBefore(deadline time.Time) float64 {
+	cost := 0.0
 	for _, w := range c {
 		if deadline.IsZero() || (!w.deadline.IsZero() && !deadline.Before(w.deadline)) {
-			n++
+			cost += w.cost
 		}
 	}
-	return n
+	return cost
 }
 
 // last returns the call with the latest deadline.
--- a/internal/mangocustomer/lane.go
+++ b/internal/mangocustomer/lane.go
@@ -8,6 +8,9 @@
 const (
 	// serviceShare is the share of a new service time in the estimate.
 	serviceShare = 0.1
+	// creditCalls is the number of calls that a customer below its share may have started ahead of the others. Calls of a
+	// small customer come unevenly; without credit, the second of two close ones waited past its deadline.
+	creditCalls = 3
 	// cutFactor is what a call that was cut off counts by the greater of its time and the estimate.
 	cutFactor = 1.25
 	// spareFlows is the number of flows that are kept at least before those without calls are looked for.
@@ -27,9 +30,9 @@
 	flows   map[string]*flow
 	sweepAt int
 	active  flows
-	share   float64
-	// service is the mean time of a call and paces those of one unit of cost by class.
+	// service is the mean time of a call, pace that of one unit of cost, and paces the same by class.
 	service time.Duration
+	pace    time.Duration
 	paces   map[string]time.Duration
 }
 
@@ -45,13 +48,14 @@
 		l.flows[customer] = f
 	}
 	if len(f.calls) == 0 {
-		f.start = max(f.start, l.virtual)
+		f.credit = creditCalls * w.cost / weight
+		f.start = max(f.start, l.virtual-f.credit)
 		f.weight = weight
-		l.share += weight
 		heap.Push(&l.active, f)
 	}
 	w.lane, w.flow = l, f
 	heap.Push(&f.calls, w)
+	f.cost += w.cost
 	l.queued++
 }
 
@@ -70,19 +74,19 @@
 func (l *lane) remove(w *waiter) {
 	f := w.flow
 	heap.Remove(&f.calls, w.index)
+	f.cost -= w.cost
 	l.queued--
 	if len(f.calls) > 0 {
 		return
 	}
 	heap.Remove(&l.active, f.index)
-	l.share -= f.weight
 	l.forget()
 }
 
 // forget drops flows whose tags no longer matter: all when nothing is queued, else those that virtual time passed.
 func (l *lane) forget() {
 	if l.queued == 0 {
-		l.virtual, l.share = 0, 0
+		l.virtual = 0
 		l.flows, l.sweepAt = map[string]*flow{}, spareFlows
 		return
 	}
@@ -90,7 +94,7 @@
 		return
 	}
 	for name, f := range l.flows {
-		if len(f.calls) == 0 && f.start <= l.virtual {
+		if len(f.calls) == 0 && f.start <= l.virtual-f.credit {
 			delete(l.flows, name)
 		}
 	}
@@ -98,19 +102,24 @@
 	l.sweepAt = 2*len(l.flows) + spareFlows
 }
 
-// wait estimates the time until a call with this deadline would get a slot.
-func (l *lane) wait(customer string, weight float64, deadline time.Time) time.Duration {
+// wait estimates the time until a call with this deadline would get a slot: that of a running call to
+// end and of the queued calls with lower tags.
+func (l *lane) wait(customer string, weight, cost float64, deadline time.Time) time.Duration {
 	if l.slots <= 0 {
 		return 0
 	}
-	own, share := 0, l.share
-	if f := l.flows[customer]; f != nil && len(f.calls) > 0 {
-		own = f.calls.before(deadline)
-	} else {
-		share += weight
+	own, tag, work := l.flows[customer], l.virtual-creditCalls*cost/weight, 0.0
+	if own != nil {
+		before := own.calls.costBefore(deadline)
+		tag = max(tag, own.start+before/weight)
+		work += before
 	}
-	turns := min(float64(own+1)*share/weight, float64(l.queued+1))
-	return time.Duration(turns * float64(l.service) / float64(l.slots))
+	for _, f := range l.active {
+		if f != own && f.start <= tag {
+			work += min(f.cost, (tag-f.start)*f.weight+f.calls[0].cost)
+		}
+	}
+	return (l.service + time.Duration(work*float64(l.pace))) / time.Duration(l.slots)
 }
 
 // needs estimates the service time of a call; before the first of its class it is the mean of all.
@@ -135,7 +144,8 @@
 	}
 	l.paces[w.class] = known + time.Duration(serviceShare*float64(pace-known))
 	if l.service == 0 {
-		l.service = took
+		l.service, l.pace = took, pace
 	}
+	l.pace += time.Duration(serviceShare * float64(pace-l.pace))
 	l.service += time.Duration(serviceShare * float64(took-l.service))
 }
--- a/internal/mangocustomer/queue.go
+++ b/internal/mangocustomer/queue.go
@@ -148,7 +148,7 @@
 // admit refuses a call that cannot be finished in time or that the queue has no place for.
 func (q *Queue) admit(w *waiter, r Request, weight float64, now time.Time) *mangocall.Error {
 	l := w.lane
-	wait := l.wait(r.Customer, weight, r.Deadline)
+	wait := l.wait(r.Customer, weight, w.cost, r.Deadline)
 	if !r.Deadline.IsZero() && now.Add(wait+l.needs(w)).After(r.Deadline) {
 		return refuse(mangocall.KindOverload, wait, "the estimated wait exceeds the deadline")
 	}
