Reject requests that crash two replicas of a plain service

Cause: an idempotent call was retried on one replica after another, so one request could crash all of them.

Change: after a connection lost behind the send, the dispatcher asks whether the address refuses connections and tells its crash observer, which reports to the suspects. Two crashes end the call as Rejected; the answer is held back 2 s for the peers to learn of them. Admission holds a suspect call while reports may be on their way and tells the dispatcher that it is one.

--- a/internal/mangoadmission/admission.go
+++ b/internal/mangoadmission/admission.go
@@ -43,6 +43,9 @@
 type Suspects interface {
 	Check(fingerprint string, now time.Time) mangosuspect.Verdict
 	Complete(fingerprint string, now time.Time)
+	// Acquire reports whether a suspect may run now; Release follows when it is true.
+	Acquire(fingerprint, host string, now time.Time) bool
+	Release(fingerprint, host string)
 }
 
 // Driver runs completions.
@@ -129,11 +132,15 @@
 	if err != nil {
 		return mangogateway.Answer{}, refused(c, profile, err)
 	}
-	if _, err := a.verdict(Fingerprint(c.Request, profile)); err != nil {
-		return mangogateway.Answer{}, err
+	fingerprint := Fingerprint(c.Request, profile)
+	limit := deadline(profile, c.Request)
+	suspect, err := a.settled(ctx, fingerprint, limit)
+	if err != nil {
+		return mangogateway.Answer{}, refused(c, profile, err)
 	}
 	answer, err := a.dispatcher.Run(ctx, mangodispatch.Call{
-		ID: c.ID, Customer: c.Customer, Profile: profile, Deadline: deadline(profile, c.Request), First: c.First,
+		ID: c.ID, Customer: c.Customer, Profile: profile, Deadline: limit, First: c.First,
+		Fingerprint: fingerprint, Suspect: suspect,
 		Request: mangoupstream.Request{
 			Method: c.Method, Path: c.Path, ContentType: c.ContentType, Body: c.Body, IdempotencyKey: c.Key,
 		},
@@ -141,6 +148,9 @@
 	if err != nil {
 		return mangogateway.Answer{}, err
 	}
+	if suspect {
+		a.suspects.Complete(fingerprint, time.Now())
+	}
 	return mangogateway.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}, nil
 }
 
@@ -173,6 +183,34 @@
 	return profile, customer, err
 }
 
+// heldPause is the time between questions whether a suspect call may go on.
+const heldPause = 100 * time.Millisecond
+
+// settled reports whether a call to a plain service is a suspect. A call that is held until all reports on its crashes
+// have arrived waits for them, so that it does not crash a third upstream.
+func (a *Admission) settled(ctx context.Context, fingerprint string, limit time.Time) (bool, error) {
+	for {
+		verdict, err := a.verdict(fingerprint)
+		if err != nil || verdict == mangosuspect.Clear {
+			return false, err
+		}
+		// A name that no host has asks only whether the call is held, not whether a host is free.
+		if a.suspects.Acquire(fingerprint, fingerprint, time.Now()) {
+			a.suspects.Release(fingerprint, fingerprint)
+			return true, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(heldPause):
+		}
+		if ctx.Err() != nil || !time.Now().Before(limit) {
+			return false, &mangocall.Error{
+				Op: "admit", Kind: mangocall.KindDeadline, Outcome: mangocall.NotRun, Err: errors.New("the call waited for reports on crashes"),
+			}
+		}
+	}
+}
+
 // verdict refuses a request that crashed upstreams.
 func (a *Admission) verdict(fingerprint string) (mangosuspect.Verdict, error) {
 	if a.suspects == nil {
--- /dev/null
+++ b/internal/mangoadmission/admission_test.go
@@ -0,0 +1,34 @@
+package mangoadmission
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/internal/mangocall"
+	"mangopath.org/mangopath/internal/mangogateway"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// Guards against NotRun for a resend that was refused by the customer's rate although its key may have run.
+func TestRefusalOfResend(t *testing.T) {
+	tests := []struct {
+		once, first bool
+		in, out     mangocall.Outcome
+	}{
+		{true, false, mangocall.NotRun, mangocall.Unknown},
+		{true, true, mangocall.NotRun, mangocall.NotRun},
+		{false, false, mangocall.NotRun, mangocall.NotRun},
+		{true, false, mangocall.Rejected, mangocall.Rejected},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		err := refused(mangogateway.ServiceCall{First: tt.first}, &mangomessage.Profile{NonIdempotent: tt.once},
+			&mangocall.Error{Op: "admit", Kind: mangocall.KindLimit, Outcome: tt.in})
+		var e *mangocall.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Outcome, tt.out)
+		is.Equal(e.Kind, mangocall.KindLimit)
+	}
+}
--- a/internal/mangodaemon/adapter.go
+++ b/internal/mangodaemon/adapter.go
@@ -64,7 +64,13 @@
 // sent passes failed sends to services to the control state.
 type sent struct{ controller *mangocontrol.Controller }
 
-var _ mangodispatch.Observer = sent{}
+var (
+	_ mangodispatch.Observer      = sent{}
+	_ mangodispatch.CrashObserver = sent{}
+)
+
+// Crashed implements mangodispatch.CrashObserver.
+func (s sent) Crashed(host, fingerprint string) { s.controller.Crashed(host, fingerprint) }
 
 // Sent implements mangodispatch.Observer.
 func (s sent) Sent(host string, _ time.Duration, err error) {
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -122,7 +122,8 @@
 	peers *mangopeer.Client,
 ) *mangodispatch.Dispatcher {
 	return mangodispatch.New(services, mangodispatch.NewBalancer(controller), ledger, asker{peers},
-		mangodispatch.WithRetryBudget(int(s.Routing.RetryBudget)), mangodispatch.WithObserver(sent{controller}))
+		mangodispatch.WithRetryBudget(int(s.Routing.RetryBudget)), mangodispatch.WithObserver(sent{controller}),
+		mangodispatch.WithCrashes(mangoupstream.NewService(), sent{controller}))
 }
 
 func provideDriver(
--- a/internal/mangodispatch/dispatch.go
+++ b/internal/mangodispatch/dispatch.go
@@ -20,6 +20,10 @@
 	Deadline time.Time
 	// First states that the caller has not sent the idempotency key before.
 	First bool
+	// Fingerprint identifies the request to the crash observer.
+	Fingerprint string
+	// Suspect requests were aboard a crash before.
+	Suspect bool
 	// Exclude names hosts that must not be used.
 	Exclude map[string]bool
 }
@@ -63,9 +67,12 @@
 	ledger   Ledger
 	asker    Asker
 	observer Observer
-	budget   *budget
-	pace     *pace
-	poll     time.Duration
+	// prober is nil when crashes are not told from lost connections.
+	prober  Prober
+	crashes CrashObserver
+	budget  *budget
+	pace    *pace
+	poll    time.Duration
 }
 
 // Option sets a property of a Dispatcher.
--- a/internal/mangodispatch/idempotent.go
+++ b/internal/mangodispatch/idempotent.go
@@ -18,6 +18,7 @@
 type tally struct {
 	tried      map[string]bool
 	mayHaveRun bool
+	crashes    int
 	last       error
 }
 
@@ -25,6 +26,9 @@
 func (d *Dispatcher) runIdempotent(ctx context.Context, call Call) (mangoupstream.Answer, error) {
 	t := &tally{tried: map[string]bool{}}
 	maps.Copy(t.tried, call.Exclude)
+	if call.Suspect {
+		t.crashes = 1
+	}
 	for try := 0; ; try++ {
 		if err := ctx.Err(); err != nil {
 			return mangoupstream.Answer{}, t.end(kindOf(err), err)
@@ -45,6 +49,12 @@
 		}
 		t.last = err
 		t.mayHaveRun = t.mayHaveRun || !notRun(err)
+		if d.crashed(ctx, picked, call, err) {
+			t.crashes++
+		}
+		if t.crashes >= maxCrashes {
+			return mangoupstream.Answer{}, d.condemn(ctx, err)
+		}
 	}
 }
 
--- a/internal/mangodispatch/once.go
+++ b/internal/mangodispatch/once.go
@@ -92,6 +92,7 @@
 		return mangoupstream.Answer{}, true, err
 	default:
 		d.ledger.MarkUnknown(ticket)
+		d.crashed(ctx, picked, call, err)
 		return mangoupstream.Answer{}, false, fail(lostKind(err), mangocall.Unknown, 0, err)
 	}
 }
