--- /dev/null
+++ b/test/booking_rate_test.go
@@ -0,0 +1,128 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// rated is one answer of a benchmark.
+type rated struct {
+	outcome string
+	took    time.Duration
+}
+
+// BenchmarkBookings offers bookings at fixed rates for some seconds at the platform's default rates of 300 writes/s and
+// 2000 reads/s. It reports bookings answered per second, writes per booking and the time added to the service's own.
+func BenchmarkBookings(b *testing.B) {
+	for _, c := range []struct {
+		entries int
+		rate    int
+		change  string
+	}{
+		{1, 10, ""},
+		{1, 18, ""},
+		{1, 25, ""},
+		{1, 40, ""},
+		{1, 80, ""},
+		{4, 40, ""},
+		{4, 70, ""},
+		{4, 100, ""},
+		{4, 160, ""},
+		{1, 100, "Platform.WriteRate=300"},
+		{1, 140, "Platform.WriteRate=300"},
+		{1, 200, "Platform.WriteRate=300"},
+	} {
+		b.Run(fmt.Sprintf("entries=%d,rate=%d,%s", c.entries, c.rate, strings.ReplaceAll(c.change, "=", "_")), func(b *testing.B) {
+			f := newFleet(b)
+			for i := range c.entries {
+				if c.change == "" {
+					f.entry(entryName(i), "nieuwegein")
+					continue
+				}
+				f.entry(entryName(i), "nieuwegein", c.change)
+			}
+			f.service("opvang-1", "nieuwegein")
+			f.publish()
+			declare(b, f.entries[0],
+				change("c1", 0, customerEntry("shelter", digestOf(customerKey))),
+				change("c2", 0, profileEntry(serviceProfile("reserve", "nieuwegein", true, "opvang-1"))))
+			for _, e := range f.entries {
+				eventually(b, startTimeout, "first booking", func() bool {
+					return book(context.Background(), e, "reserve", "warm-"+e.name, "{}").status == http.StatusOK
+				})
+			}
+			for b.Loop() {
+				f.offer(b, c.rate, 8*time.Second)
+			}
+		})
+	}
+}
+
+// offer sends bookings at a rate and reports what came of those sent after the first three seconds, in which the
+// bursts of the budgets are used up.
+func (f *fleet) offer(b *testing.B, perSecond int, lasting time.Duration) {
+	const settle = 3 * time.Second
+	before, begin := f.writes(b), time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var all []rated
+	sent := 0
+	for at := time.Duration(0); at < lasting; at += time.Second / time.Duration(perSecond) {
+		time.Sleep(time.Until(begin.Add(at)))
+		e, key := f.entries[sent%len(f.entries)], fmt.Sprintf("k%d", sent)
+		sent++
+		wg.Go(func() {
+			start := time.Now()
+			a := book(context.Background(), e, "reserve", key, "{}")
+			if at >= settle {
+				mu.Lock()
+				all = append(all, rated{a.outcome, time.Since(start)})
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(500 * time.Millisecond) // the last records are written in the background
+	f.report(b, all, float64(f.writes(b)-before)/float64(sent), (lasting - settle).Seconds())
+}
+
+func (f *fleet) report(b *testing.B, all []rated, writes, seconds float64) {
+	const delay = 5 * time.Millisecond // of the service
+	var took []time.Duration
+	outcomes := map[string]int{}
+	for _, r := range all {
+		outcomes[r.outcome]++
+		if r.outcome == "Answer" {
+			took = append(took, r.took-delay)
+		}
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(len(took))/seconds, "answers/s")
+	b.ReportMetric(float64(len(all)-len(took))/seconds, "failures/s")
+	b.ReportMetric(writes, "writes/booking")
+	if len(took) > 0 {
+		b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+		b.ReportMetric(float64(took[len(took)*95/100].Microseconds())/1000, "p95-ms")
+	}
+	b.Logf("outcomes %v", outcomes)
+}
+
+// writes returns the writes that the platform has counted.
+func (f *fleet) writes(b *testing.B) int {
+	_, data, _, err := send(context.Background(), http.MethodGet, "http://"+f.platform+"/admin/counters", nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var counters struct{ Writes int }
+	if err := json.Unmarshal(data, &counters); err != nil {
+		b.Fatal(err)
+	}
+	return counters.Writes
+}
