Report readiness once upstreams are known, and test leaving engines

Cause: a restarted entry host passed its readiness check as soon as it had the configuration, before it had read the engines and set its slots. The balancer sent it calls, which it refused: 24 of 108 calls were NotRun in TestEntryHostsReplacedOneByOne ("the profile has no capacity here").

Ruled out: the stop itself. No call was lost or wrong, and all three processes ended with status 0.

Change: an entry host with profiles is ready once the host list has arrived, each listed engine has been read and the queue has slots for what they run, or after 3 s, since a listed engine may be dead. An engine that the list dropped stays known as long as it answers probes. The shutdown passes its context on.

Tests: TestLeavingEngines drains, stops and replaces engines under long answers; the traces show that each moved call goes on in the same attempt at the position where it left off. The two ways to leave now share one fleet in TestLeavingHostGetsNoNewWork.

--- a/internal/mangocontrol/observe.go
+++ b/internal/mangocontrol/observe.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangochain"
 	"mangopath.org/mangopath/internal/mangohost"
 	"mangopath.org/mangopath/internal/mangoupstream"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -45,6 +46,37 @@
 	c.logger.WithFields(logrus.Fields{"event": "upstream_failed", "host": host}).WithError(err).Warn("upstream failed")
 }
 
+// Surveyed reports whether the engines are known that this daemon needs for its profiles: the host list has arrived and
+// each engine on it has stated what it holds.
+func (c *Controller) Surveyed() bool {
+	s := c.Snapshot()
+	if len(s.Book.Entries("Profile")) == 0 {
+		return true
+	}
+	for _, h := range s.Directory.Hosts(mangohost.RoleEngine) {
+		if h.State(s.At) == mangohost.StateUnprobed {
+			return false
+		}
+	}
+	return s.Directory.ListAsOf() > 0
+}
+
+// Capacities returns the number of calls that the engines run at once, by pool, for the pools that have any.
+func (c *Controller) Capacities() map[string]int {
+	s := c.Snapshot()
+	capacities := map[string]int{}
+	for _, e := range s.Book.Entries("Profile") {
+		profile := e.GetProfile()
+		if profile.GetKind() != KindCompletion {
+			continue
+		}
+		if n := mangochain.Capacity(s.View(profile), profile); n > 0 {
+			capacities[Pool(profile)] = n
+		}
+	}
+	return capacities
+}
+
 // Leaving reports whether running calls have to leave a host.
 func (c *Controller) Leaving(host string) bool {
 	s := c.Snapshot()
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -19,6 +19,13 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
+const (
+	// warmTimeout bounds the time that a new entry host waits for upstreams before it is ready, since a listed engine may
+	// be dead.
+	warmTimeout = 3 * time.Second
+	warmPause   = 20 * time.Millisecond
+)
+
 // flushTimeout bounds the wait for records of finished calls on shutdown; a record that is not written leaves its
 // call as Started, which never leads to a second execution.
 const flushTimeout = 5 * time.Second
@@ -90,6 +97,11 @@
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
 	run("callers", func() error { return callers.Serve(listeners.callers) })
+	warmed := make(chan struct{})
+	go func() {
+		defer close(warmed)
+		d.warm(inner)
+	}()
 	d.logger.WithFields(logrus.Fields{
 		"event": "started", "host": d.settings.Host.Name, "data_centre": d.settings.Host.DataCentre,
 		"callers": d.settings.Callers.Address, "operators": d.settings.Operators.Address, "peers": d.settings.Peers.Address,
@@ -97,7 +109,7 @@
 	var failed error
 	select {
 	case <-ctx.Done():
-		d.drain(callers)
+		d.drain(inner, callers)
 	case p := <-ended:
 		running--
 		failed = &Error{Op: p.name, Kind: KindPart, Err: errors.Errorf("ended by itself: %v", p.err)}
@@ -108,25 +120,53 @@
 	for range running {
 		<-ended
 	}
+	<-warmed
 	d.driver.Wait()
 	d.peers.Close()
 	d.logger.WithFields(logrus.Fields{"event": "stopped"}).Info("entry host stopped")
 	return failed
 }
 
+// warm waits until this entry host knows the upstreams of its profiles and has slots for them. Before that it would
+// refuse calls that another entry host could serve.
+func (d *Daemon) warm(ctx context.Context) {
+	for begun := time.Now(); time.Since(begun) < warmTimeout && !d.canServe(); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(warmPause):
+		}
+	}
+	d.ready.warm.Store(true)
+}
+
+// canServe reports whether the queue has slots for all that the engines can run.
+func (d *Daemon) canServe() bool {
+	if !d.controller.Known() || !d.controller.Surveyed() {
+		return false
+	}
+	loads := d.queue.Loads()
+	for pool := range d.controller.Capacities() {
+		if loads[pool].Slots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // drain fails the readiness check, accepts calls until the load balancer has noticed and lets running calls finish.
-func (d *Daemon) drain(callers *http.Server) {
+func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.logger.WithFields(logrus.Fields{"event": "draining"}).Info("entry host shuts down")
 	d.ready.stopping.Store(true)
 	d.controller.Leave()
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(milliseconds(d.settings.Callers.DrainDelay))
-	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(d.settings.Callers.DrainTimeout))
+	bounded, cancel := context.WithTimeout(ctx, milliseconds(d.settings.Callers.DrainTimeout))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(bounded); err != nil {
 		d.logger.WithFields(logrus.Fields{"event": "drain_incomplete"}).WithError(err).Warn("calls still ran at the end of the drain timeout")
 	}
-	flush, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
 	if err := d.ledger.Flush(flush); err != nil {
 		d.logger.WithFields(logrus.Fields{"event": "flush_incomplete"}).WithError(err).Warn("records were not all written")
--- a/internal/mangodaemon/operate.go
+++ b/internal/mangodaemon/operate.go
@@ -99,7 +99,9 @@
 
 // readiness says whether the load balancer may send calls here.
 type readiness struct {
-	started  time.Time
+	started time.Time
+	// warm is set once the upstreams are known.
+	warm     atomic.Bool
 	stopping atomic.Bool
 }
 
@@ -131,6 +133,8 @@
 		status.Reason = "this entry host is shutting down"
 	case !r.controller.Known():
 		status.Reason = "neither the platform nor a peer has given the configuration yet"
+	case !r.ready.warm.Load():
+		status.Reason = "the upstreams are not known yet"
 	default:
 		status.Ready = true
 	}
--- a/internal/mangohost/directory.go
+++ b/internal/mangohost/directory.go
@@ -9,7 +9,8 @@
 )
 
 // unlistedTime is the time that a host stays known after the list dropped it; the list lags, so a short absence
-// says little, and a call that still fails ejects the host at once.
+// says little, and a call that still fails ejects the host at once. An engine that still answers probes stays for good,
+// since absence from the list is no proof that it is gone.
 const unlistedTime = 30 * time.Second
 
 // Directory is an immutable set of hosts.
@@ -79,7 +80,7 @@
 	switch {
 	case !known:
 		d.unlisted[name] = now
-	case now.Sub(since) > unlistedTime:
+	case now.Sub(since) > unlistedTime && now.Sub(d.hosts[name].EngineAt) > unlistedTime:
 		delete(d.hosts, name)
 		delete(d.unlisted, name)
 	}
--- a/internal/mangohost/directory_test.go
+++ b/internal/mangohost/directory_test.go
@@ -81,6 +81,12 @@
 	d = d.WithList(list(2, engine("b", false)), now).WithList(list(3, engine("b", false)), now.Add(time.Minute))
 	_, ok := d.Host("a")
 	is.True(!ok) // dropped by the list for longer than unlistedTime
+	d = mangohost.NewDirectory().WithList(list(1, engine("a", false)), now).WithList(list(2, engine("b", false)), now)
+	d = d.With("a", func(h mangohost.Host) mangohost.Host {
+		return h.WithReport(&mangomessage.EngineState{}, now.Add(50*time.Second))
+	})
+	_, ok = d.WithList(list(3, engine("b", false)), now.Add(time.Minute)).Host("a")
+	is.True(ok) // still answers probes
 }
 
 // Guards against full load on a host that has just joined or recovered.
--- /dev/null
+++ b/test/drain_engine_test.go
@@ -0,0 +1,165 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// moveAfter is the setting MoveAfter of the entry host in these tests.
+const moveAfter = time.Second
+
+// TestLeavingEngines drains, stops and replaces engines of one fleet while answers run.
+func TestLeavingEngines(t *testing.T) {
+	f, engines := proxiedShelter(t, 2, "Routing.MoveAfter="+moveAfter.String())
+	t.Run("drained", func(t *testing.T) { drainedEngine(t, f, engines) })
+	t.Run("stopped", func(t *testing.T) { stoppedEngine(t, f, engines) })
+	t.Run("returned with another version", func(t *testing.T) { returnedEngine(t, f, engines) })
+}
+
+// longAnswers starts answers and returns a function that checks that all are whole and right.
+func longAnswers(t *testing.T, f *fleet, what string, tokens int) func() {
+	t.Helper()
+	const calls = 4
+	type reply struct {
+		prompt string
+		answer answer
+	}
+	replies := make(chan reply, calls)
+	for n := range calls {
+		prompt := fmt.Sprintf("%s long %d", what, n)
+		go func() {
+			replies <- reply{prompt, complete(context.Background(), f.entries[0], "tekst", prompt, tokens)}
+		}()
+	}
+	return func() {
+		t.Helper()
+		is := is.New(t)
+		for range calls {
+			r := <-replies
+			is.True(r.answer.whole)
+			is.Equal(r.answer.text, faultFree("v1", r.prompt, tokens))
+			t.Logf("longest gap %v", r.answer.longestGap())
+		}
+	}
+}
+
+// drainedEngine guards against calls that stay on a drained engine, and against a move that runs the prompt again
+// instead of taking the KV cache along.
+func drainedEngine(t *testing.T, f *fleet, engines []proxied) {
+	is := is.New(t)
+	check := longAnswers(t, f, "drained", 250)
+	time.Sleep(500 * time.Millisecond)
+	leaving := f.busiest(t, engines[2:4])
+	other := engines[2]
+	if other.name == leaving.name {
+		other = engines[3]
+	}
+	declare(t, f.entries[0], change("drain", 0, markEntry(leaving.name, true)))
+	time.Sleep(moveAfter + 500*time.Millisecond) // time for the mark and for the moves
+	lines := len(trace(t, leaving.engine).Lines)
+	is.Equal(hostReports(t, f.entries[0])[leaving.name].GetState(), "Leaving")
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(len(trace(t, leaving.engine).Lines), lines) // the engine carries nothing any more
+	check()
+	is.True(moved(t, leaving.engine, other.engine) > 0)
+	declare(t, f.entries[0], change("undrain", markRevision(t, f.entries[0], leaving.name), markEntry(leaving.name, false)))
+}
+
+// markRevision returns the revision of a host's drain mark.
+func markRevision(t testing.TB, e *entry, host string) uint64 {
+	t.Helper()
+	_, body, err := operate(e, http.MethodGet, "/v1/entries?Kind=HostMark", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reply struct {
+		Entries []struct {
+			Revision uint64 `json:",string"`
+			HostMark struct{ Host string }
+		}
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range reply.Entries {
+		if m.HostMark.Host == host {
+			return m.Revision
+		}
+	}
+	t.Fatalf("no mark of %s", host)
+	return 0
+}
+
+// moved counts the calls that went on at another engine in the same attempt, each exactly where it had left off.
+func moved(t *testing.T, from, to string) int {
+	t.Helper()
+	type key struct {
+		call    string
+		attempt uint32
+	}
+	next := map[key]uint32{}
+	for _, l := range trace(t, from).Lines {
+		next[key{l.Call, l.Attempt}] = l.Position + l.Count
+	}
+	first := map[key]*mangomessage.TraceLine{}
+	for _, l := range trace(t, to).Lines {
+		if k := (key{l.Call, l.Attempt}); first[k] == nil {
+			first[k] = l
+		}
+	}
+	n := 0
+	for k, l := range first {
+		if at, ok := next[k]; ok {
+			n++
+			if l.Position != at || l.Count != 1 {
+				t.Errorf("call %s goes on at position %d with %d, left off at %d", k.call, l.Position, l.Count, at)
+			}
+		}
+	}
+	return n
+}
+
+// stoppedEngine guards against answers that break, and an engine that does not end, when it is stopped under load.
+func stoppedEngine(t *testing.T, f *fleet, engines []proxied) {
+	is := is.New(t)
+	check := longAnswers(t, f, "stopped", 100)
+	time.Sleep(500 * time.Millisecond)
+	stopping := f.busiest(t, engines[4:6])
+	f.engines[stopping.name].signal(syscall.SIGTERM)
+	is.Equal(f.engines[stopping.name].wait(10*time.Second), 0)
+	check()
+	f.engine(stopping.spec)
+}
+
+// returnedEngine guards against calls of a version on an engine that came back under its name with another one.
+func returnedEngine(t *testing.T, f *fleet, engines []proxied) {
+	is := is.New(t)
+	check := longAnswers(t, f, "returned", 100)
+	time.Sleep(500 * time.Millisecond)
+	p := f.busiest(t, engines[:2])
+	f.engines[p.name].kill()
+	p.spec.version = "v2"
+	f.engine(p.spec)
+	check()
+	is.Equal(opened(t, p.engine), 0) // it holds no layer of v1
+	for i := 1; i < 3; i++ {
+		from, to := stage(i)
+		f.engine(engineSpec{name: fmt.Sprintf("second-%d", i), centre: "nieuwegein", version: "v2", from: from, to: to})
+	}
+	f.publish()
+	declare(t, f.entries[0], change("p2", 0, profileEntry(modelProfile("tekst-v2", "v2"))))
+	eventually(t, startTimeout, "v2 answers", func() bool {
+		a := complete(context.Background(), f.entries[0], "tekst-v2", "a returned cat", 5)
+		return a.status == http.StatusOK && a.text == faultFree("v2", "a returned cat", 5)
+	})
+	is.True(opened(t, p.engine) > 0)
+}
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -78,7 +78,8 @@
 // TestLeavingHostGetsNoNewWork guards against new work on a host that leaves by mark or by list, and against losing the
 // calls that run there.
 func TestLeavingHostGetsNoNewWork(t *testing.T) {
-	for _, c := range []struct {
+	f, engines := proxiedShelter(t, 2)
+	for i, c := range []struct {
 		name  string
 		leave func(f *fleet, host string)
 	}{
@@ -94,15 +95,15 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f, engines := proxiedShelter(t, 2)
 			var l load
+			host := engines[2*i] // a stage for each way to leave
 			l.run(6, 30, "v1", func(int) *entry { return f.entries[0] })
 			time.Sleep(500 * time.Millisecond)
-			c.leave(f, engines[0].name)
+			c.leave(f, host.name)
 			time.Sleep(drainBound)
-			before := opened(t, engines[0].engine)
+			before := opened(t, host.engine)
 			time.Sleep(1500 * time.Millisecond)
-			is.Equal(opened(t, engines[0].engine), before) // no new call after the bound
+			is.Equal(opened(t, host.engine), before) // no new call after the bound
 			t.Log(l.end())
 			is.True(before > 0)
 			is.True(l.whole.Load() > 0)
@@ -128,10 +129,11 @@
 		}
 		return f.entries[0]
 	}
-	watch, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	var watching atomic.Bool
+	watching.Store(true)
+	defer watching.Store(false)
 	go func() {
-		for watch.Err() == nil {
+		for watching.Load() {
 			for i, e := range f.entries {
 				ready[i].Store(answers("http://" + e.operators + "/readyz"))
 			}
--- a/test/token_test.go
+++ b/test/token_test.go
@@ -56,10 +56,10 @@
 }
 
 // proxiedShelter is one entry host before a pipeline with two replicas a stage behind proxies.
-func proxiedShelter(t *testing.T, replicas int) (*fleet, []proxied) {
+func proxiedShelter(t *testing.T, replicas int, change ...string) (*fleet, []proxied) {
 	t.Helper()
 	f := newFleet(t)
-	f.entry("a-entry", "nieuwegein")
+	f.entry("a-entry", "nieuwegein", change...)
 	engines := f.proxiedPipeline("v1", "nieuwegein", replicas)
 	f.service("opvang-1", "nieuwegein")
 	f.service("opvang-2", "nieuwegein")
