Count a crash behind a proxy, and test poison requests under load

Cause: a host whose process died behind a proxy accepts a new connection and breaks it.

Ruled out: letting suspects run on after they passed the crash.

Change: a connection that broke and whose replacement broke as well counts as a crash, like one whose replacement was refused.

Tests: TestPoisonRequestStopsEarly demands exactly two lost engines, Rejected for the poison request and whole answers for six others within 1 s between tokens.

--- a/internal/mangocall/driver_test.go
+++ b/internal/mangocall/driver_test.go
@@ -217,3 +217,27 @@
 		})
 	}
 }
+
+// Guards against a suspect that is let go before its recovery has passed the crash, which would hide a second crash, and
+// against one that is held apart for its whole answer.
+func TestSuspectPassesCrash(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		faults  map[int]string
+		attempt int
+		passed  int
+	}{
+		{"crash and recovery", map[int]string{8: "Crash"}, 2, 1},
+		{"second crash just after the prefill", map[int]string{8: "Crash", 13: "Crash"}, 3, 1},
+		{"no crash", map[int]string{8: "LostAfter"}, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := newFleet(6, at(c.faults))
+			result, err := runOn(t, l, &textSink{})
+			is.NoErr(err)
+			is.Equal(result.Attempts, c.attempt)
+			is.Equal(l.passed, c.passed)
+		})
+	}
+}
--- a/internal/mangocall/fake_test.go
+++ b/internal/mangocall/fake_test.go
@@ -30,7 +30,9 @@
 	leaving map[string]bool
 	flying  map[string]int
 	crashes []string
-	view    mangochain.View
+	// passed counts the attempts of suspects that passed the position of a crash.
+	passed int
+	view   mangochain.View
 }
 
 // cache has the state of each layer; a layer skipped, repeated or run out of order changes all later output.
@@ -222,7 +224,7 @@
 	for _, s := range chain.Stages {
 		l.flying[s.Replica.Host]++
 	}
-	return Assignment{Chain: chain, Release: func() {
+	return Assignment{Chain: chain, Passed: func() { l.passed++ }, Release: func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		for _, s := range chain.Stages {
--- a/internal/mangocall/leg.go
+++ b/internal/mangocall/leg.go
@@ -70,17 +70,20 @@
 	}
 }
 
-// reportCrash tells of a host that broke a connection and then refused new ones or lost its state.
+// reportCrash tells of a host that broke a connection and then refused or broke a new one or lost its state. A proxy
+// before a dead process accepts connections and breaks them.
 // From then on the call runs apart from other suspects, so that a second crash identifies one call.
 func (l *leg) reportCrash(step, reopened error) {
 	// A stream that broke between two steps gives NotSent; the call was aboard all the same.
 	if kind := upstreamKind(step); kind != mangoupstream.KindLost && kind != mangoupstream.KindNotSent {
 		return
 	}
-	if kind := upstreamKind(reopened); kind == mangoupstream.KindNotSent || kind == mangoupstream.KindNoState {
-		r := l.attempt.run
-		r.crashed, r.crashedAt, r.call.Suspect = true, max(r.crashedAt, l.attempt.position), true
-		r.crashedAfter = max(r.crashedAfter, time.Since(l.attempt.began))
-		r.driver.observer.Crashed(l.replica.Host, r.call.Fingerprint)
+	kind := upstreamKind(reopened)
+	if kind != mangoupstream.KindNotSent && kind != mangoupstream.KindNoState && kind != mangoupstream.KindLost {
+		return
 	}
+	r := l.attempt.run
+	r.crashed, r.crashedAt, r.call.Suspect = true, max(r.crashedAt, l.attempt.position), true
+	r.crashedAfter = max(r.crashedAfter, time.Since(l.attempt.began))
+	r.driver.observer.Crashed(l.replica.Host, r.call.Fingerprint)
 }
--- /dev/null
+++ b/test/token_poison_test.go
@@ -0,0 +1,55 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPoisonRequestStopsEarly sends a request that crashes each engine that runs its prompt, while other answers run.
+// It guards against more than two lost engines, against innocent calls that are refused or broken, and against innocent
+// calls that wait long because they were aboard.
+func TestPoisonRequestStopsEarly(t *testing.T) {
+	const tokens, calls = 120, 6
+	is := is.New(t)
+	f, engines := proxiedShelter(t, 4)
+	for _, p := range engines[:4] {
+		f.faults(p.engine, map[string]any{"CrashOnPrompt": "poison"})
+	}
+	type reply struct {
+		prompt string
+		answer answer
+	}
+	replies := make(chan reply, calls)
+	for n := range calls {
+		prompt := fmt.Sprintf("innocent %d", n)
+		go func() {
+			replies <- reply{prompt, complete(context.Background(), f.entries[0], "tekst", prompt, tokens)}
+		}()
+	}
+	time.Sleep(400 * time.Millisecond)
+	a := complete(context.Background(), f.entries[0], "tekst", "poison", tokens)
+	is.True(!a.whole)
+	is.Equal(a.outcome, "Rejected")
+	var longest time.Duration
+	for range calls {
+		r := <-replies
+		is.True(r.answer.whole)
+		is.Equal(r.answer.text, faultFree("v1", r.prompt, tokens))
+		longest = max(longest, r.answer.longestGap())
+	}
+	t.Logf("recovery fault=%q longest_gap_ms=%d", "poison", longest.Milliseconds())
+	is.True(longest < killBound)
+	lost := 0
+	for _, p := range engines[:4] {
+		select {
+		case <-f.engines[p.name].ended:
+			lost++
+		default:
+		}
+	}
+	is.Equal(lost, 2)
+}
--- a/test/token_test.go
+++ b/test/token_test.go
@@ -292,22 +292,27 @@
 	checkTraces(t, traced, old, lost)
 }
 
-// TestAnswerSurvivesLossOfTwoStages guards against a recovery that fails when another stage is lost during it.
+// TestAnswerSurvivesLossOfTwoStages guards against a recovery that fails when two stages die at once and the third goes
+// silent during the recovery.
 func TestAnswerSurvivesLossOfTwoStages(t *testing.T) {
 	is := is.New(t)
 	f, engines := proxiedShelter(t, 3)
 	result := make(chan answer, 1)
 	go func() { result <- complete(context.Background(), f.entries[0], "tekst", "two stages", 150) }()
 	time.Sleep(400 * time.Millisecond)
-	f.engines[engines[0].name].kill()
-	f.engines[engines[3].name].kill()
-	time.Sleep(100 * time.Millisecond)
-	f.engines[engines[6].name].kill()
-	f.engines[engines[1].name].kill()
+	var carriers []proxied
+	for i := range 3 {
+		carriers = append(carriers, f.busiest(t, engines[3*i:3*i+3]))
+	}
+	f.engines[carriers[0].name].kill()
+	f.engines[carriers[1].name].kill()
+	time.Sleep(30 * time.Millisecond) // the recovery is under way
+	carriers[2].set(t, map[string]any{"CutToCaller": true})
 	a := <-result
 	is.True(a.whole)
 	is.Equal(a.text, faultFree("v1", "two stages", 150))
 	t.Logf("longest gap %v", a.longestGap())
+	is.True(a.longestGap() < silenceBound)
 }
 
 // TestAnswerSurvivesRepeatedLoss kills the hosts that carry an answer twice. It guards against slow recovery, and against
