--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -20,6 +20,13 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
+const (
+	// warmTimeout bounds the time that a new entry host waits for upstreams before it is ready, since a listed engine may
+	// be dead.
+	warmTimeout = 3 * time.Second
+	warmPause   = 20 * time.Millisecond
+)
+
 // flushTimeout bounds the wait for records of finished calls on shutdown; a record that is not written leaves its
 // call as Started, which never leads to a second execution.
 const flushTimeout = 5 * time.Second
@@ -97,6 +104,11 @@
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
 	run("callers", func() error { return callers.Serve(listeners.callers) })
+	warmed := make(chan struct{})
+	go func() {
+		defer close(warmed)
+		d.warm(inner)
+	}()
 	d.logger.WithFields(logrus.Fields{
 		"event": "started", "host": d.settings.Host.Name, "data_centre": d.settings.Host.DataCentre,
 		"callers": d.settings.Callers.Address, "operators": d.settings.Operators.Address, "peers": d.settings.Peers.Address,
@@ -115,12 +127,40 @@
 	for range running {
 		<-ended
 	}
+	<-warmed
 	d.driver.Wait()
 	d.peers.Close()
 	d.logger.WithFields(logrus.Fields{"event": "stopped"}).Info("entry host stopped")
 	return failed
 }
 
+// warm waits until this entry host knows the upstreams of its profiles and has slots for them. Before that it would
+// refuse calls that another entry host could serve.
+func (d *Daemon) warm(ctx context.Context) {
+	for begun := time.Now(); time.Since(begun) < warmTimeout && !d.canServe(); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(warmPause):
+		}
+	}
+	d.reporter.ready.warm.Store(true)
+}
+
+// canServe reports whether the queue has slots for all that the engines can run.
+func (d *Daemon) canServe() bool {
+	if !d.controller.Known() || !d.controller.Surveyed() {
+		return false
+	}
+	loads := d.queue.Loads()
+	for pool := range d.controller.Capacities() {
+		if loads[pool].Slots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // drain fails the readiness check, accepts calls until the load balancer has noticed and lets running calls finish.
 func (d *Daemon) drain(ctx context.Context, callers *http.Server) {
 	d.logger.WithFields(logrus.Fields{"event": "draining"}).Info("entry host shuts down")
