Cut the control cost of an entry host at target size

Change: the directory shares names and pages of 32 hosts between copies; the list is passed on only when its content changed; probes of old reports and ejected hosts are bounded; names are hashed once; in data centres of more than 40 daemons a replica has one prober, an interval's exchange reaches one peer, and shares, which reach a daemon from 5% of the fleet within their life, are left out; the life of members and the interval of refreshed figures grow with the fleet; views are kept until hosts change. Fleets of up to 40 daemons and 500 hosts keep their probers and intervals. Ruled out: idle connections as a lasting cost; those of the first probes end after 15 s.

--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,8 @@
 const (
 	// publishInterval bounds the age of load figures in a snapshot; changes of state are published at once.
 	publishInterval = 100 * time.Millisecond
+	// refreshHosts is the number of hosts up to which figures are published at publishInterval.
+	refreshHosts = 500
 	// commandQueue bounds the changes that wait for the control goroutine.
 	commandQueue = 1024
 )
@@ -197,6 +200,7 @@
 func (c *Controller) loop(ctx context.Context) {
 	s := newState(c.now())
 	tick := time.NewTicker(publishInterval)
+	var refreshed time.Time
 	defer tick.Stop()
 	for {
 		select {
@@ -204,17 +208,27 @@
 			return
 		case f := <-c.commands:
 			f(s)
-		case <-tick.C:
+		case now := <-tick.C:
+			if now.Sub(refreshed) < refreshInterval(s.directory.Len()) {
+				continue
+			}
+			refreshed = now
 			s.expire(c.now())
 			s.dirty = true
 			c.shareDaemons(s)
 		}
-		if s.dirty {
+		if s.dirty || s.unpublished {
 			c.publish(s)
 		}
 	}
 }
 
+// refreshInterval is publishInterval for a small fleet and grows with it up to a second, since reports of a large one
+// are seconds old and views of 4,100 replicas take 1.6 ms to build.
+func refreshInterval(hosts int) time.Duration {
+	return min(max(publishInterval*time.Duration(hosts)/refreshHosts, publishInterval), time.Second)
+}
+
 // shareDaemons tells the parts that divide work among the live daemons who they are.
 func (c *Controller) shareDaemons(s *state) {
 	live := s.liveMembers(c.now())
@@ -270,8 +284,12 @@
 }
 
 func (c *Controller) publish(s *state) {
-	s.dirty = false
 	now := c.now()
+	views := &sync.Map{}
+	if old := c.snapshot.Load(); old != nil && !s.dirty {
+		views = old.views
+	}
+	s.dirty, s.unpublished = false, false
 	members := s.liveMembers(now)
 	heard := make(map[string]time.Time, len(members))
 	known := make(map[string]uint64, len(members))
@@ -284,6 +302,7 @@
 		}
 	}
 	c.snapshot.Store(&Snapshot{
+		listChanged: s.listChanged, views: views,
 		Book: s.book, Directory: s.directory, Members: members, Daemons: len(members) + 1, Local: local,
 		Peers: s.peerLoads(now), ConfirmedAt: s.confirmedAt, At: now,
 		identity: c.identity, links: c.links, meter: c.meter, list: s.list, heard: heard, known: known,
--- a/internal/mangocontrol/exchange.go
+++ b/internal/mangocontrol/exchange.go
@@ -17,13 +17,23 @@
 	membersSent = 20
 	loadsSent   = 40
 	sharesSent  = 200
+	// loadAge is the age up to which a load report is worth relaying.
+	loadAge = 4 * time.Second
+	// largeFleet is the number of other daemons above which an interval's exchange reaches one peer instead of fanout:
+	// a daemon then no longer hears all others within shareLife, and the traffic would pass 14 KB/s.
+	largeFleet = 40
 )
 
 // exchange swaps knowledge with random peers at intervals and at once when there is news.
 func (c *Controller) exchange(ctx context.Context) {
 	ended := make(chan struct{}, fanout)
+	news := true
 	for {
-		peers := c.randomPeers(fanout)
+		n := fanout
+		if !news && len(c.Snapshot().Members) > largeFleet {
+			n = 1
+		}
+		peers := c.randomPeers(n)
 		for _, address := range peers {
 			go func() {
 				c.exchangeWith(ctx, address)
@@ -33,25 +43,28 @@
 		for range peers {
 			<-ended
 		}
-		if !c.awaitNews(ctx) {
+		news = c.awaitNews(ctx)
+		if ctx.Err() != nil {
 			return
 		}
 	}
 }
 
+// awaitNews waits for news or the next interval and reports whether there is news.
 func (c *Controller) awaitNews(ctx context.Context) bool {
 	interval := c.times.Exchange
 	timer := time.NewTimer(interval*4/5 + rand.N(interval*2/5+1))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return false
 	case <-c.news:
+		return true
 	case address := <-c.pulls:
 		c.exchangeWith(ctx, address)
+		return true
 	case <-timer.C:
 	}
-	return true
+	return false
 }
 
 // randomPeers returns addresses of other entry hosts, taken from the host list, the members heard of and the seeds.
@@ -68,7 +81,7 @@
 	for _, m := range snapshot.Members {
 		add(m.Address)
 	}
-	for _, h := range snapshot.Directory.Hosts(mangohost.RoleEntry) {
+	for h := range snapshot.Directory.All(mangohost.RoleEntry) {
 		add(h.Address)
 	}
 	for _, address := range c.seeds {
--- a/internal/mangocontrol/message.go
+++ b/internal/mangocontrol/message.go
@@ -4,10 +4,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"mangopath.org/mangopath/internal/mangohost"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -20,7 +18,7 @@
 	now := c.now()
 	request := &mangomessage.ExchangeRequest{
 		From: c.self(), Revision: s.Book.Revision(), ConfirmedAgeMs: confirmedAge(s, now),
-		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
+		Shares: c.shares(s), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
 	}
 	if c.limits != nil {
 		request.Usages = c.limits.Usages(now)
@@ -36,7 +34,7 @@
 	now := c.now()
 	reply := &mangomessage.ExchangeReply{
 		From: c.self(), Revision: s.Book.Revision(), ConfirmedAgeMs: confirmedAge(s, now),
-		Shares: c.shares(), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
+		Shares: c.shares(s), Loads: loads(s, now), Members: membersOf(s, now), ListAsOfMs: s.Directory.ListAsOf(),
 	}
 	if c.suspects != nil {
 		// A restarted peer knows nothing, so its incarnation is part of the name of its cursor.
@@ -51,7 +49,7 @@
 	if request.Revision < s.Book.Revision() {
 		reply.Changes, reply.ChangesFrom = changesSince(s, request.Revision)
 	}
-	if request.ListAsOfMs < s.Directory.ListAsOf() {
+	if request.ListAsOfMs < s.listChanged {
 		reply.Hosts = s.list
 	}
 	return reply
@@ -64,7 +62,11 @@
 	}
 }
 
-func (c *Controller) shares() []*mangomessage.Share {
+// shares are left out of a fleet in which a daemon hears too few others within shareLife for a sum; loads then count alone.
+func (c *Controller) shares(s *Snapshot) []*mangomessage.Share {
+	if len(s.Members) > largeFleet {
+		return nil
+	}
 	shares := make([]*mangomessage.Share, 0, 16)
 	c.meter.Shares(func(host string, n int) {
 		if len(shares) < sharesSent {
@@ -74,16 +76,17 @@
 	return shares
 }
 
-// loads relays the newest reports of engines.
+// loads relays reports of engines that are at most loadAge old, chosen at random so that peers do not all relay the same.
 func loads(s *Snapshot, now time.Time) []*mangomessage.Load {
-	hosts := s.Directory.Hosts(mangohost.RoleEngine)
-	hosts = slices.DeleteFunc(hosts, func(h mangohost.Host) bool { return h.Engine == nil })
-	slices.SortFunc(hosts, func(a, b mangohost.Host) int { return b.EngineAt.Compare(a.EngineAt) })
 	sent := make([]*mangomessage.Load, 0, loadsSent)
-	for _, h := range hosts[:min(loadsSent, len(hosts))] {
-		sent = append(sent, &mangomessage.Load{
-			Host: h.Name, Running: h.Engine.Running, Waiting: h.Engine.Waiting, AgeMs: milliseconds(now.Sub(h.EngineAt)),
-		})
+	n := s.Directory.Len()
+	for i, first := 0, rand.IntN(n+1); i < n && len(sent) < loadsSent; i++ {
+		h := s.Directory.At((first + i) % n)
+		if age := now.Sub(h.EngineAt); h.Engine != nil && age <= loadAge {
+			sent = append(sent, &mangomessage.Load{
+				Host: h.Name, Running: h.Engine.Running, Waiting: h.Engine.Waiting, AgeMs: milliseconds(age),
+			})
+		}
 	}
 	return sent
 }
--- a/internal/mangocontrol/probe.go
+++ b/internal/mangocontrol/probe.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangohost"
@@ -12,7 +12,8 @@
 )
 
 const (
-	// probers is the number of daemons of a data centre that probe the same upstream at intervals.
+	// probers is the number of daemons of a data centre that probe the same upstream at intervals. In a large one it is
+	// one: others take over when the report is past probeMaxAge, and a second one would cost 3 KB/s of 14.
 	probers = 2
 	// probeParallel bounds the probes of one daemon at a time.
 	probeParallel = 16
@@ -20,6 +21,11 @@
 	probeTimeout = time.Second
 	// probeMaxAge is the age of a report past which any daemon probes, whoever the probers are.
 	probeMaxAge = 8 * time.Second
+	// ejectedProbes bounds the probes of ejected hosts in a round, so that the loss of a data centre leaves slots.
+	ejectedProbes = 8
+	// staleProbes bounds the probes of old reports in a round. Without a bound all 410 daemons probe all 4,100 replicas,
+	// 300 a second each, and replicas behind a cut link fill the slots of the others.
+	staleProbes = 4
 )
 
 // probe reads the state of engines: those never read, those assigned to this daemon and those that calls ask for.
@@ -44,10 +50,8 @@
 			last = c.now()
 		}
 		snapshot := c.Snapshot()
-		for _, h := range snapshot.Directory.Hosts(mangohost.RoleEngine) {
-			if c.due(snapshot, h, round) {
-				start(h)
-			}
+		for _, h := range c.dueHosts(snapshot, round) {
+			start(h)
 		}
 		if !c.awaitProbe(ctx, start) {
 			return
@@ -73,53 +77,31 @@
 	}
 }
 
-// due reports whether this daemon probes a host now: unknown and ejected hosts at each look, others in turn.
-func (c *Controller) due(s *Snapshot, h mangohost.Host, round bool) bool {
-	switch {
-	case h.Engine == nil:
-		return round
-	case !round:
-		return false
-	case h.State(s.At) == mangohost.StateEjected:
-		return true
-	case s.At.Sub(h.EngineAt) > probeMaxAge:
-		return true
-	default:
-		return c.assigned(s, h)
-	}
-}
-
-// assigned chooses the probers of a host by rendezvous hashing among the live daemons of its data centre, or among
-// all of them when it has none.
-func (c *Controller) assigned(s *Snapshot, h mangohost.Host) bool {
-	own := rendezvous(c.identity.Name, h.Name)
-	local := c.identity.DataCentre == h.DataCentre
-	higher, others := 0, 0
-	for _, m := range s.Members {
-		if m.DataCentre != h.DataCentre {
-			continue
-		}
-		others++
-		if rendezvous(m.Name, h.Name) > own {
-			higher++
-		}
-	}
-	if local {
-		return higher < probers
+// dueHosts returns the hosts that this daemon probes now: unknown, ejected and assigned ones, and some whose report is old.
+func (c *Controller) dueHosts(s *Snapshot, round bool) []mangohost.Host {
+	if !round {
+		return nil
 	}
-	if others > 0 {
-		return false
-	}
-	higher = 0
-	for _, m := range s.Members {
-		if rendezvous(m.Name, h.Name) > own {
-			higher++
+	duty := newDuty(c.identity, s.Members)
+	var due, ejected, stale []mangohost.Host
+	for h := range s.Directory.All(mangohost.RoleEngine) {
+		switch {
+		case h.Engine == nil || duty.assigned(h):
+			due = append(due, h)
+		case h.State(s.At) == mangohost.StateEjected:
+			ejected = append(ejected, h)
+		case s.At.Sub(h.EngineAt) > probeMaxAge:
+			stale = append(stale, h)
 		}
 	}
-	return higher < probers
+	return append(append(due, some(ejected, ejectedProbes)...), some(stale, staleProbes)...)
 }
 
-func rendezvous(daemon, host string) uint64 { return xxhash.Sum64String(daemon + "\x00" + host) }
+// some returns at most n hosts, chosen at random.
+func some(hosts []mangohost.Host, n int) []mangohost.Host {
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(n, len(hosts))]
+}
 
 func (c *Controller) probeHost(ctx context.Context, h mangohost.Host) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/mangocontrol/slots.go
+++ b/internal/mangocontrol/slots.go
@@ -10,7 +10,7 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// slotInterval is the time between changes of the slots.
+// slotInterval is the least time between changes of the slots; it grows like that between refreshed snapshots.
 const slotInterval = 250 * time.Millisecond
 
 // overcommit covers the time that calls spend on links and in the router rather than in a batch.
@@ -25,7 +25,7 @@
 // ShareSlots sets the slots of each pool of completions at intervals until the context ends.
 func (c *Controller) ShareSlots(ctx context.Context, slots Slots) {
 	set := map[string]int{}
-	for pause(ctx, slotInterval) {
+	for pause(ctx, max(slotInterval, refreshInterval(c.Snapshot().Directory.Len()))) {
 		s := c.Snapshot()
 		next := c.slots(s)
 		for pool, n := range next {
--- a/internal/mangocontrol/snapshot.go
+++ b/internal/mangocontrol/snapshot.go
@@ -32,7 +32,10 @@
 	list     *mangomessage.HostList
 	heard    map[string]time.Time
 	known    map[string]uint64
-	views    sync.Map
+	// views are shared with the snapshots since the last change of hosts.
+	views *sync.Map
+	// listChanged is the time of the first list with the present content, in Unix milliseconds.
+	listChanged int64
 }
 
 // revisionOf returns the newest revision that the daemon at an address is known to have, 0 when unknown.
@@ -48,7 +51,7 @@
 		return v.(mangochain.View)
 	}
 	view := mangochain.View{Local: s.identity.DataCentre, Daemons: s.Daemons, Links: s.links}
-	for _, h := range s.Directory.Hosts(mangohost.RoleEngine) {
+	for h := range s.Directory.All(mangohost.RoleEngine) {
 		if h.Engine == nil || h.Engine.Model != profile.Model || h.Engine.Version != profile.Version {
 			continue
 		}
--- a/internal/mangocontrol/state.go
+++ b/internal/mangocontrol/state.go
@@ -1,8 +1,11 @@
 package mangocontrol
 
 import (
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"mangopath.org/mangopath/internal/mangohost"
 	"mangopath.org/mangopath/internal/mangoprofile"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -12,6 +15,8 @@
 	// memberLive is the age up to which a silent entry host counts as live when capacity is shared; the exchange
 	// reaches every member of a data centre well within it.
 	memberLive = 10 * time.Second
+	// memberScale is the number of members for which memberLive is long enough.
+	memberScale = 64
 	// shareLife is the age past which a peer's calls in flight are no longer counted.
 	shareLife = 10 * time.Second
 )
@@ -24,7 +29,11 @@
 	shares      map[string]peerShares
 	confirmedAt time.Time
 	list        *mangomessage.HostList
+	// listChanged is the time of the first list with the present content; later ones need not be passed on.
+	listChanged int64
+	// dirty says that a change of hosts is to be published at once, unpublished that another one is.
 	dirty       bool
+	unpublished bool
 }
 
 // member is an entry host and the time at which any daemon last heard of it.
@@ -64,7 +73,7 @@
 		return
 	}
 	s.confirmedAt = at
-	s.dirty = true
+	s.unpublished = true
 }
 
 // adoptList takes over a newer host list.
@@ -73,11 +82,19 @@
 	if next == s.directory {
 		return
 	}
+	if !sameHosts(s.list, list) {
+		s.listChanged = list.AsOfMs
+	}
 	s.directory = next.WithMarks(s.book.Draining)
 	s.list = list
 	s.dirty = true
 }
 
+// sameHosts compares lists that may be in different orders only by position: a new order counts as a change.
+func sameHosts(a, b *mangomessage.HostList) bool {
+	return a != nil && slices.EqualFunc(a.Hosts, b.Hosts, func(x, y *mangomessage.ListedHost) bool { return proto.Equal(x, y) })
+}
+
 // hear takes over what is known about an entry host; a higher incarnation or a later time wins.
 func (s *state) hear(m *mangomessage.Member, heard time.Time) {
 	old, ok := s.members[m.Name]
@@ -115,11 +132,18 @@
 	return loads
 }
 
+// liveAge is memberLive for a small fleet and grows with it: relays of 20 members reach a daemon of 410 with news of
+// each other one every 10 s on average, so that a third would count as dead.
+func (s *state) liveAge() time.Duration {
+	return memberLive * time.Duration(max(1, len(s.members)/memberScale))
+}
+
 // liveMembers returns the entry hosts that were heard of lately and do not leave.
 func (s *state) liveMembers(now time.Time) []*mangomessage.Member {
+	age := s.liveAge()
 	live := make([]*mangomessage.Member, 0, len(s.members))
 	for _, m := range s.members {
-		if !m.message.Leaving && now.Sub(m.heard) <= memberLive {
+		if !m.message.Leaving && now.Sub(m.heard) <= age {
 			live = append(live, m.message)
 		}
 	}
@@ -128,8 +152,9 @@
 
 // expire forgets peers that were silent for long.
 func (s *state) expire(now time.Time) {
+	age := s.liveAge()
 	for name, m := range s.members {
-		if now.Sub(m.heard) > 3*memberLive {
+		if now.Sub(m.heard) > 3*age {
 			delete(s.members, name)
 			delete(s.shares, name)
 		}
--- a/internal/mangohost/directory.go
+++ b/internal/mangohost/directory.go
@@ -1,6 +1,7 @@
 package mangohost
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -12,42 +13,63 @@
 // says little, and a call that still fails ejects the host at once.
 const unlistedTime = 30 * time.Second
 
-// Directory is an immutable set of hosts.
+// pageHosts is the number of hosts that a change of one host copies.
+const pageHosts = 32
+
+// Directory is an immutable set of hosts. Names and their order change only with the list, so a change of one host
+// shares them and all pages but one with the directory before.
 type Directory struct {
-	hosts    map[string]Host
+	names    []string
+	index    map[string]int
+	pages    [][]Host
 	unlisted map[string]time.Time
 	listAsOf int64
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{hosts: map[string]Host{}, unlisted: map[string]time.Time{}}
+	return &Directory{unlisted: map[string]time.Time{}}
 }
 
 // Host returns a host by name.
 func (d *Directory) Host(name string) (Host, bool) {
-	h, ok := d.hosts[name]
-	return h, ok
+	i, ok := d.index[name]
+	if !ok {
+		return Host{}, false
+	}
+	return d.At(i), true
 }
 
 // Hosts returns all hosts of a role in the order of their names; an empty role means all roles.
 func (d *Directory) Hosts(role string) []Host {
-	names := slices.Sorted(maps.Keys(d.hosts))
-	hosts := make([]Host, 0, len(names))
-	for _, n := range names {
-		if role == "" || d.hosts[n].Role == role {
-			hosts = append(hosts, d.hosts[n])
+	return slices.Collect(d.All(role))
+}
+
+// All iterates over the hosts of a role like Hosts, without a copy of 1 MB at 4,500 hosts.
+func (d *Directory) All(role string) iter.Seq[Host] {
+	return func(yield func(Host) bool) {
+		for _, page := range d.pages {
+			for _, h := range page {
+				if (role == "" || h.Role == role) && !yield(h) {
+					return
+				}
+			}
 		}
 	}
-	return hosts
 }
 
+// At returns the host at an index below Len.
+func (d *Directory) At(i int) Host { return d.pages[i/pageHosts][i%pageHosts] }
+
+// Len returns the number of hosts.
+func (d *Directory) Len() int { return len(d.names) }
+
 // ListAsOf returns the time of the newest list in Unix milliseconds.
 func (d *Directory) ListAsOf() int64 { return d.listAsOf }
 
 // Leaving reports whether a host is known to leave.
 func (d *Directory) Leaving(name string, now time.Time) bool {
-	h, ok := d.hosts[name]
+	h, ok := d.Host(name)
 	return ok && h.State(now) == StateLeaving
 }
 
@@ -57,32 +79,40 @@
 	if list.AsOfMs <= d.listAsOf || len(list.Hosts) == 0 {
 		return d
 	}
-	n := d.clone()
-	n.listAsOf = list.AsOfMs
-	listed := make(map[string]bool, len(list.Hosts))
+	hosts := make(map[string]Host, len(list.Hosts))
+	unlisted := map[string]time.Time{}
 	for _, l := range list.Hosts {
-		listed[l.Name] = true
-		delete(n.unlisted, l.Name)
-		n.hosts[l.Name] = n.hosts[l.Name].withListing(l)
+		known, ok := hosts[l.Name]
+		if !ok {
+			known, _ = d.Host(l.Name)
+		}
+		hosts[l.Name] = known.withListing(l)
 	}
-	for name := range n.hosts {
-		n.dropUnlisted(name, listed[name], now)
+	for _, h := range d.Hosts("") {
+		if _, listed := hosts[h.Name]; listed {
+			continue
+		}
+		since, known := d.unlisted[h.Name]
+		if !known {
+			since = now
+		}
+		if now.Sub(since) <= unlistedTime {
+			hosts[h.Name], unlisted[h.Name] = h, since
+		}
 	}
-	return n
+	return newDirectory(hosts, unlisted, list.AsOfMs)
 }
 
-func (d *Directory) dropUnlisted(name string, listed bool, now time.Time) {
-	if listed {
-		return
+func newDirectory(hosts map[string]Host, unlisted map[string]time.Time, asOf int64) *Directory {
+	d := &Directory{
+		names: slices.Sorted(maps.Keys(hosts)), index: make(map[string]int, len(hosts)), unlisted: unlisted, listAsOf: asOf,
 	}
-	since, known := d.unlisted[name]
-	switch {
-	case !known:
-		d.unlisted[name] = now
-	case now.Sub(since) > unlistedTime:
-		delete(d.hosts, name)
-		delete(d.unlisted, name)
+	all := make([]Host, len(d.names))
+	for i, name := range d.names {
+		d.index[name], all[i] = i, hosts[name]
 	}
+	d.pages = slices.Collect(slices.Chunk(all, pageHosts))
+	return d
 }
 
 // withListing takes over a line of the list; a host that came back under another address is a new one.
@@ -97,25 +127,27 @@
 
 // WithMarks returns the directory with the operators' drain marks.
 func (d *Directory) WithMarks(draining func(host string) bool) *Directory {
-	n := d.clone()
-	for name, h := range n.hosts {
-		h.Marked = draining(name)
-		n.hosts[name] = h
+	n := *d
+	n.pages = make([][]Host, len(d.pages))
+	for i, page := range d.pages {
+		n.pages[i] = slices.Clone(page)
+		for j := range page {
+			n.pages[i][j].Marked = draining(page[j].Name)
+		}
 	}
-	return n
+	return &n
 }
 
 // With returns the directory after a change of one host; unknown hosts change nothing.
 func (d *Directory) With(name string, change func(Host) Host) *Directory {
-	h, ok := d.hosts[name]
+	i, ok := d.index[name]
 	if !ok {
 		return d
 	}
-	n := d.clone()
-	n.hosts[name] = change(h)
-	return n
-}
-
-func (d *Directory) clone() *Directory {
-	return &Directory{hosts: maps.Clone(d.hosts), unlisted: maps.Clone(d.unlisted), listAsOf: d.listAsOf}
+	n := *d
+	n.pages = slices.Clone(d.pages)
+	page := slices.Clone(d.pages[i/pageHosts])
+	page[i%pageHosts] = change(page[i%pageHosts])
+	n.pages[i/pageHosts] = page
+	return &n
 }
