Run seeded schedules of overlapping faults on eight entry hosts

Cause: each fault had a test of its own, but none checked all promises while faults overlap. Change: make soak SEEDS=n kills, pauses and restarts entry hosts, takes the store down, slows it and drops its replies, kills engines, sets drain marks and switches an alias, under completions and bookings with resends, and then checks executions per key, NotRun keys, texts, revisions, service on all entry hosts, and sockets, goroutines and memory. Ruled out: waiting for a restarted entry host inside the schedule, which would keep other faults from overlapping with its start.

--- /dev/null
+++ b/test/soak_fault_test.go
@@ -0,0 +1,205 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+// act starts one fault of the schedule.
+func (s *soak) act() {
+	faults := []func(){s.killEntry, s.pauseEntry, s.storeDown, s.storeSlow, s.storeLoses, s.killEngine, s.drain, s.switchAlias, s.switchAlias}
+	faults[s.rand.IntN(len(faults))]()
+}
+
+// once runs a fault unless one of its kind is on, and ends it after a random time up to most.
+func (s *soak) once(kind string, most time.Duration, fault, end func()) {
+	if s.busy[kind] {
+		return
+	}
+	s.busy[kind] = true
+	lasts := 300*time.Millisecond + time.Duration(s.rand.Int64N(int64(most)))
+	s.t.Logf("%s %s for %v", time.Now().UTC().Format("15:04:05.000"), kind, lasts.Round(time.Millisecond))
+	fault()
+	s.undo = append(s.undo, undo{at: time.Now().Add(lasts), f: func() {
+		end()
+		s.busy[kind] = false
+	}})
+}
+
+func (s *soak) randomEntry() *entry { return s.f.entries[s.rand.IntN(soakEntries)] }
+
+func (s *soak) killEntry() {
+	e := s.randomEntry()
+	if s.busy["pause "+e.name] {
+		return
+	}
+	s.once("kill "+e.name, 2*time.Second, e.kill, func() { e.process = start(s.t, e.name, "mangopath", "serve", "-c", e.settings) })
+}
+
+func (s *soak) pauseEntry() {
+	e := s.randomEntry()
+	if s.busy["kill "+e.name] {
+		return
+	}
+	s.once("pause "+e.name, 5*time.Second, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
+}
+
+func (s *soak) storeFault(kind string, on, off map[string]any) {
+	s.once(kind, 3*time.Second, func() { s.f.faults(s.f.platform, on) }, func() { s.f.faults(s.f.platform, off) })
+}
+
+func (s *soak) storeDown() {
+	s.storeFault("store down", map[string]any{"Down": true}, map[string]any{"Down": false})
+}
+
+func (s *soak) storeSlow() {
+	s.storeFault("store slow", map[string]any{"DelayMs": 400}, map[string]any{"DelayMs": 0})
+}
+
+func (s *soak) storeLoses() {
+	s.storeFault("store loses replies", map[string]any{"DropReplies": 4}, map[string]any{"DropReplies": 0})
+}
+
+// killEngine kills one engine at a time and starts it again without state at another address.
+func (s *soak) killEngine() {
+	version, i, r := 1+s.rand.IntN(2), s.rand.IntN(3), s.rand.IntN(2)
+	name := fmt.Sprintf("nieuwegein-v%d-s%d-r%d", version, i, r)
+	s.once("kill an engine", 2*time.Second, func() {
+		s.t.Log("engine " + name)
+		s.f.engines[name].kill()
+	}, func() {
+		from, to := stage(i)
+		s.f.engine(engineSpec{name: name, centre: "nieuwegein", version: fmt.Sprintf("v%d", version), from: from, to: to})
+		s.f.publish()
+	})
+}
+
+func (s *soak) drain() {
+	name := fmt.Sprintf("nieuwegein-v%d-s%d-r%d", 1+s.rand.IntN(2), s.rand.IntN(3), s.rand.IntN(2))
+	s.once("drain", 3*time.Second, func() { s.propose("HostMark", name, markEntry(name, true)) }, func() {
+		s.propose("HostMark", name, markEntry(name, false))
+	})
+}
+
+// switchAlias lets the alias point to the other version; an outcome that is not known is not checked later.
+func (s *soak) switchAlias() {
+	next := "tekst-v1"
+	if s.target == next {
+		next = "tekst-v2"
+	}
+	switch status := s.propose("Alias", "tekst", aliasEntry("tekst", next)); status {
+	case http.StatusOK:
+		s.target, s.known = next, true
+		s.t.Logf("alias on %s", next)
+	default:
+		s.known = false
+		s.t.Logf("switch to %s: status %d", next, status)
+	}
+}
+
+// propose sends one change with the entry's present revision through an entry host that answers; 0 means no answer.
+func (s *soak) propose(kind, name string, entry *mangomessage.Entry) int {
+	s.change++
+	id := fmt.Sprintf("soak-%d", s.change)
+	for range 8 {
+		e := s.randomEntry()
+		if s.busy["kill "+e.name] || s.busy["pause "+e.name] {
+			continue
+		}
+		expected, ok := presentRevision(e, kind, name)
+		if !ok {
+			continue
+		}
+		status, body := propose(e, change(id, expected, entry))
+		if status != http.StatusOK {
+			s.t.Logf("change %s: %d %s", id, status, tail(body, 200))
+		}
+		return status
+	}
+	return 0
+}
+
+// presentRevision returns the revision of an entry on an entry host, 0 when there is none; ok is false without an answer.
+func presentRevision(e *entry, kind, name string) (uint64, bool) {
+	status, body, err := operate(e, http.MethodGet, "/v1/entries?Kind="+kind, nil)
+	if err != nil || status != http.StatusOK {
+		return 0, false
+	}
+	var reply struct {
+		Entries []struct {
+			Revision json.Number
+			Alias    struct{ Name string }
+			HostMark struct{ Host string }
+		}
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, false
+	}
+	for _, a := range reply.Entries {
+		if a.Alias.Name == name || a.HostMark.Host == name {
+			n, _ := a.Revision.Int64()
+			return uint64(n), true
+		}
+	}
+	return 0, true
+}
+
+// resources is what one entry host holds.
+type resources struct{ sockets, goroutines, memory float64 }
+
+var goroutinesLine = regexp.MustCompile(`(?m)^go_goroutines (\S+)`)
+
+func resourcesOf(t *testing.T, f *fleet) map[string]resources {
+	t.Helper()
+	all := map[string]resources{}
+	for _, e := range f.entries {
+		dir := fmt.Sprintf("/proc/%d/", e.command.Process.Pid)
+		r := resources{memory: procField(t, dir+"status", "VmRSS:") / 1024}
+		files, _ := os.ReadDir(dir + "fd")
+		for _, file := range files {
+			if to, _ := os.Readlink(dir + "fd/" + file.Name()); strings.HasPrefix(to, "socket:") {
+				r.sockets++
+			}
+		}
+		_, body, err := operate(e, http.MethodGet, "/metrics", nil)
+		if m := goroutinesLine.FindSubmatch(body); err == nil && m != nil {
+			r.goroutines, _ = strconv.ParseFloat(string(m[1]), 64)
+		}
+		all[e.name] = r
+	}
+	return all
+}
+
+// checkResources waits until idle connections have ended and fails on growth that stays.
+func (s *soak) checkResources(before map[string]resources) {
+	var grown []string
+	var after map[string]resources
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Second) {
+		after, grown = resourcesOf(s.t, s.f), nil
+		for name, a := range after {
+			b := before[name]
+			if a.sockets > 1.5*b.sockets+20 || a.goroutines > 1.5*b.goroutines+40 || a.memory > 2*b.memory+40 {
+				grown = append(grown, name)
+			}
+		}
+		if len(grown) == 0 || time.Now().After(end) {
+			break
+		}
+	}
+	for _, e := range s.f.entries {
+		s.t.Logf("%s: sockets, goroutines, MB before %v after %v", e.name, before[e.name], after[e.name])
+	}
+	if len(grown) > 0 {
+		s.t.Errorf("resources grew on %v", grown)
+	}
+}
