--- a/test/capacity_report_test.go
+++ b/test/capacity_report_test.go
@@ -33,7 +33,7 @@
 func report(t *testing.T, sizes []*size) {
 	t.Helper()
 	var b strings.Builder
-	b.WriteString("\ndaemons replicas customers profiles changes | core[%] mem[MB] in[KB/s] out[KB/s] probes/s  reads writes (store, of all)\n")
+	b.WriteString("\ndaemons replicas customers profiles changes | core[%] mem[MB] in[KB/s] out[KB/s] probes/s  reads writes (store, of all) change in force [s]\n")
 	for _, s := range sizes {
 		fmt.Fprintln(&b, s)
 	}
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -33,6 +33,8 @@
 	daemons, simulated, replicas, customers, profiles  int
 	changes                                            float64
 	cpu, memory, received, sent, probes, reads, writes float64
+	// spread is the time in seconds until a change is in force on all entry hosts.
+	spread float64
 }
 
 // TestCapacity measures what entry hosts without traffic cost at several sizes and extrapolates to the target.
@@ -79,8 +81,8 @@
 
 // String is a line of the report.
 func (s *size) String() string {
-	return fmt.Sprintf("%7d %8d %9d %8d %7.2f | %7.3f %7.1f %8.2f %8.2f %8.1f %6.2f %6.2f", s.daemons+s.simulated, s.replicas, s.customers,
-		s.profiles, s.changes, s.cpu, s.memory, s.received, s.sent, s.probes, s.reads, s.writes)
+	return fmt.Sprintf("%7d %8d %9d %8d %7.2f | %7.3f %7.1f %8.2f %8.2f %8.1f %6.2f %6.2f %6.2f", s.daemons+s.simulated, s.replicas, s.customers,
+		s.profiles, s.changes, s.cpu, s.memory, s.received, s.sent, s.probes, s.reads, s.writes, s.spread)
 }
 
 // measure starts the processes of a size and fills in what an entry host costs on average.
@@ -121,6 +123,7 @@
 	s.received, s.sent = (after.received-before.received)/per/1000, (after.sent-before.sent)/per/1000
 	s.memory = after.memory / float64(s.daemons) / 1e6
 	s.probes = float64(probesAfter-probes) / per
+	s.spread = spreadOf(t, f)
 	s.reads, s.writes = (countersAfter.Reads-counters.Reads)/seconds, (countersAfter.Writes-counters.Writes)/seconds
 }
 
@@ -152,6 +155,21 @@
 	}
 }
 
+// spreadOf returns the seconds until the last entry host has a change.
+func spreadOf(t *testing.T, f *fleet) float64 {
+	t.Helper()
+	before := revision(f.entries[0])
+	begin := time.Now()
+	status, body := propose(f.entries[0], change("spread", 0, aliasEntry("spread", "profile-0")))
+	if status != http.StatusOK {
+		t.Fatalf("change: %d %s", status, body)
+	}
+	for _, e := range f.entries {
+		eventually(t, 14*time.Second, "change in force on "+e.name, func() bool { return revision(e) > before })
+	}
+	return time.Since(begin).Seconds()
+}
+
 // change proposes changes at the rate of the size until it is stopped.
 func (s *size) change(f *fleet, stop, ended chan struct{}) {
 	defer close(ended)
