Write Done records with what Begin leaves of the budget

Cause: above half of the write budget the background writes of Done and NotRun queued before the Started records that callers wait for. Ruled out: the platform's rate (the platform was below 300 writes/s).

--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -114,6 +114,7 @@
 
 func provideLedger(s *mangomessage.Settings, id mangocontrol.Identity, budget *mangostore.Budget) *mangoledger.Ledger {
 	return mangoledger.New(budget.For("ledger", mangostore.WithQueue(ledgerQueue)), id.Name, id.PeerAddress,
+		mangoledger.WithBackground(budget.For("ledger-done", mangostore.WithSpare())),
 		mangoledger.WithRetention(milliseconds(s.Limits.LedgerRetention)), mangoledger.WithDispatchBound(milliseconds(s.Limits.DispatchBound)))
 }
 
--- a/internal/mangoledger/ledger.go
+++ b/internal/mangoledger/ledger.go
@@ -33,6 +33,7 @@
 // New returns a ledger for the daemon of a name whose peers reach it at ownerAddress.
 func New(store mangostore.Store, owner, ownerAddress string, opts ...Option) *Ledger {
 	c := defaults()
+	c.background = store
 	for _, o := range opts {
 		o(&c)
 	}
--- a/internal/mangoledger/option.go
+++ b/internal/mangoledger/option.go
@@ -1,6 +1,10 @@
 package mangoledger
 
-import "time"
+import (
+	"time"
+
+	"mangopath.org/mangopath/internal/mangostore"
+)
 
 type config struct {
 	retention  time.Duration
@@ -9,6 +13,7 @@
 	cacheBytes int
 	queueBytes int
 	queue      int
+	background mangostore.Store
 }
 
 // Option sets a property of a Ledger.
@@ -39,3 +44,8 @@
 func WithQueue(writes, bytes int) Option {
 	return func(c *config) { c.queue, c.queueBytes = writes, bytes }
 }
+
+// WithBackground sets the store for the writes of Done and NotRun, which may be late; the default is that of Begin.
+func WithBackground(store mangostore.Store) Option {
+	return func(c *config) { c.background = store }
+}
--- a/internal/mangoledger/writer.go
+++ b/internal/mangoledger/writer.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return true
 	}
-	_, err = l.store.Put(ctx, mangostore.Item{Key: j.store, Value: value, Version: j.version, LeaseID: j.lease})
+	_, err = l.config.background.Put(ctx, mangostore.Item{Key: j.store, Value: value, Version: j.version, LeaseID: j.lease})
 	if err == nil {
 		return true
 	}
@@ -118,7 +118,7 @@
 
 // locate finds the version of a Started record of the attempt; false means that there is none to change.
 func (l *Ledger) locate(ctx context.Context, j *job) (bool, error) {
-	item, err := l.store.Get(ctx, j.store)
+	item, err := l.config.background.Get(ctx, j.store)
 	if err != nil {
 		return false, err
 	}
--- a/internal/mangostore/budget_wait.go
+++ b/internal/mangostore/budget_wait.go
@@ -119,6 +119,9 @@
 	if l != nil {
 		return l.wait(ctx, within)
 	}
+	if s.spare != nil {
+		return s.spare.wait(ctx, limiter)
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.budget.wait)
 	defer cancel()
 	return limiter.Wait(ctx)
--- a/internal/mangostore/budget_wait_test.go
+++ b/internal/mangostore/budget_wait_test.go
@@ -87,3 +87,30 @@
 		is.Equal(kindOf(err), mangostore.KindLimited)
 	})
 }
+
+// Guards against writes that may be late and delay those that callers wait for, and against late writes that never come.
+func TestSpare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := mangostore.NewBudget(mangostorefake.New(), 40, 40)
+		store, spare := b.For("ledger", mangostore.WithQueue(10)), b.For("done", mangostore.WithSpare())
+		var late atomic.Int64
+		var wg sync.WaitGroup
+		for range 60 {
+			wg.Go(func() {
+				if _, err := spare.Grant(t.Context(), time.Hour); err == nil {
+					late.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		begin := time.Now()
+		for range 10 {
+			_, err := store.Grant(t.Context(), time.Hour)
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(begin), time.Duration(0))
+		wg.Wait()
+		is.Equal(int(late.Load()), 60)
+	})
+}
--- a/internal/mangostore/budgeted.go
+++ b/internal/mangostore/budgeted.go
@@ -11,6 +11,8 @@
 	purpose string
 	// patience is nil for purposes without a queue.
 	patience *patience
+	// spare is nil unless calls take only what is spare.
+	spare *spare
 }
 
 var _ Backend = (*budgeted)(nil)
