--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -161,9 +161,9 @@
 	d.controller.Leave()
 	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(milliseconds(d.settings.Callers.DrainDelay))
-	bounded, cancel := context.WithTimeout(ctx, milliseconds(d.settings.Callers.DrainTimeout))
+	shutdown, cancel := context.WithTimeout(ctx, milliseconds(d.settings.Callers.DrainTimeout))
 	defer cancel()
-	if err := callers.Shutdown(bounded); err != nil {
+	if err := callers.Shutdown(shutdown); err != nil {
 		d.logger.WithFields(logrus.Fields{"event": "drain_incomplete"}).WithError(err).Warn("calls still ran at the end of the drain timeout")
 	}
 	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
