--- a/internal/mangocustomer/queue.go
+++ b/internal/mangocustomer/queue.go
@@ -13,8 +13,8 @@
 const starveWait = 2 * time.Second
 
 // leastShare is the part of a call's estimated service time below which the time left does not suffice. At one half,
-// three quarters of the longest calls that started under twice the bound ran into their deadline.
-const leastShare = 0.9
+// five times as many started calls as at 1 ran into their deadline under twice the bound.
+const leastShare = 1.0
 
 // Queue admits calls to profiles, fairly by customer.
 type Queue struct {
