Measure recovery of both routers

Change: `make bench` measures the longest time to a next token after a stage was killed, its connections hang or its link is 100 times slower, the next token elsewhere after an entry host was killed, and the connections to upstreams before, during and after 5 s without a replica of a stage.

--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -88,6 +88,9 @@
 	if scope.has("added") {
 		t.Run("added", func(t *testing.T) { benchAdded(t, report) })
 	}
+	if scope.has("recovery") {
+		t.Run("recovery", func(t *testing.T) { benchRecovery(t, report) })
+	}
 	table, err := report.Write(filepath.Join("..", "out"))
 	if err != nil {
 		t.Fatal(err)
