--- a/internal/mangocontrol/slots.go
+++ b/internal/mangocontrol/slots.go
@@ -16,7 +16,7 @@
 // overcommit covers the time that calls spend waiting for the batch before theirs, on links and in the router: batches
 // are full only when calls wait for them. At 1.2, 40 replicas in three stages reached 0.87 of the bound under a load
 // of the bound; at 1.75, 1.0.
-const overcommit = 2.0
+const overcommit = 1.75
 
 // shareAge is the mean age of the peers' calls in flight: an exchange with two of seven peers every second.
 const shareAge = 2 * time.Second
