Lower the estimate of a class that refuses its calls

Cause: calls that are refused give no new times. Change: each refusal for time lowers the estimate of its class by 1/128.

--- a/internal/mangocustomer/lane.go
+++ b/internal/mangocustomer/lane.go
@@ -13,6 +13,8 @@
 	creditCalls = 3
 	// cutFactor is what a call that was cut off counts by the greater of its time and the estimate.
 	cutFactor = 1.25
+	// refusalsOfDoubt is the number of refusals that lower an estimate by 63%.
+	refusalsOfDoubt = 128
 	// spareFlows is the number of flows that are kept at least before those without calls are looked for.
 	spareFlows = 64
 )
@@ -130,6 +132,10 @@
 	return l.service
 }
 
+// doubt lowers the estimate of a class whose call was refused for it. Calls that are refused give no new times, so that a
+// high estimate would refuse all calls of the class for as long as the overload lasts.
+func (l *lane) doubt(w *waiter) { l.paces[w.class] -= l.paces[w.class] / refusalsOfDoubt }
+
 // ended notes the service time of a call. One that was cut off at its deadline would have taken longer; counting it like
 // others would let the estimate fall below what any call needs, and more calls start that are cut off.
 func (l *lane) ended(w *waiter, took time.Duration, cut bool) {
--- a/internal/mangocustomer/queue.go
+++ b/internal/mangocustomer/queue.go
@@ -150,6 +150,7 @@
 	l := w.lane
 	wait := l.wait(r.Customer, weight, w.cost, r.Deadline)
 	if !r.Deadline.IsZero() && now.Add(wait+l.needs(w)).After(r.Deadline) {
+		l.doubt(w)
 		return refuse(mangocall.KindOverload, wait, "the estimated wait exceeds the deadline")
 	}
 	if q.queued < q.maxQueue {
@@ -221,6 +222,7 @@
 		}
 		w := l.active[0].calls[0]
 		if !w.deadline.IsZero() && now.Add(time.Duration(leastShare*float64(l.needs(w)))).After(w.deadline) {
+			l.doubt(w)
 			q.drop(w, refuse(mangocall.KindDeadline, 0, "the deadline cannot be met any more"))
 			continue
 		}
--- a/internal/mangocustomer/queue_test.go
+++ b/internal/mangocustomer/queue_test.go
@@ -162,3 +162,37 @@
 		is.Equal(kind(<-long), mangocall.KindDeadline) // 4 s are left of its 5 s
 	})
 }
+
+// Guards against a class of calls that is refused for as long as an overload lasts, because one slow call raised its
+// estimate above the deadline of all.
+func TestEstimateRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		q := NewQueue()
+		q.SetSlots("p", 2)
+		request := func(class string, within time.Duration) Request {
+			return Request{Customer: "a", Profile: "p", Class: class, Deadline: time.Now().Add(within)}
+		}
+		slow, err := q.Acquire(ctx, request("x", time.Minute))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		slow()
+		for range 2 {
+			_, err := q.Acquire(ctx, request("y", time.Hour))
+			is.NoErr(err)
+		}
+		refused := 0
+		for range 500 {
+			r := request("x", 1500*time.Millisecond)
+			q.mu.Lock()
+			failed := q.admit(&waiter{lane: q.lanes["p"], class: "x", cost: 1}, r, 1, time.Now())
+			q.mu.Unlock()
+			if failed == nil {
+				break
+			}
+			refused++
+		}
+		is.True(refused > 0 && refused < 200)
+	})
+}
