Settle forks of the change log and test faults of configuration

Cause: after a restored store had accepted a change, daemons that knew another change at that revision failed every poll with KindFork and stayed unconfirmed for good; a daemon of the restored history took a peer's later changes onto its own, which mixed both histories.

Ruled out: proposing the dropped changes again; their expected revisions were checked against another history.

Change: mangochange.Settle keeps the history at the higher revision, or with the greater change id, on every daemon alike. Peers repeat the receiver's last change, so that a fork is noticed and the log polled at once (message.go, learn.go: additive). Alarm event=fork, status fields Forks and Fork, metric mangopath_book_forks. The gauges of mangometric are set from the control state, which nothing did. Conflicts state the time of the change that won. New setting Peers.AdvertisedAddress (additive), by which tests put a proxy before an entry host.

--- a/cmd/mangopath/status.go
+++ b/cmd/mangopath/status.go
@@ -54,6 +54,9 @@
 		{"Suspects", number(r.GetSuspects())},
 		{"Placing", strconv.FormatBool(r.GetPlacing()) + ", fencing number " + strconv.FormatUint(r.GetFencingNumber(), 10)},
 	}
+	if r.GetForks() > 0 {
+		rows = append(rows, []string{"Forks", number(r.GetForks()) + " of the change log, last: " + r.GetFork()})
+	}
 	for _, p := range r.GetPeers() {
 		rows = append(rows, []string{"Peer", p.GetName() + " in " + p.GetDataCentre() + " at " + p.GetAddress()})
 	}
--- /dev/null
+++ b/internal/mangochange/settle_test.go
@@ -0,0 +1,104 @@
+package mangochange_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mangopath.org/mangopath/internal/mangochange"
+	"mangopath.org/mangopath/internal/mangoprofile"
+	"mangopath.org/mangopath/internal/mangostorefake"
+)
+
+// fork returns a store that accepted changes of its own after a restore, and a log and a book of the history before.
+func fork(t *testing.T, before, after []string, compact bool) (*mangostorefake.Store, *mangochange.Log, *mangoprofile.Book) {
+	t.Helper()
+	store := mangostorefake.New()
+	log := mangochange.New(store)
+	propose(t, log, "a")
+	old := store.Snapshot()
+	propose(t, log, before...)
+	known, err := log.Poll(t.Context(), mangoprofile.New())
+	is.New(t).NoErr(err)
+	store.Restore(old)
+	other := mangochange.New(store)
+	propose(t, other, after...)
+	if compact {
+		is.New(t).NoErr(other.Compact(t.Context()))
+	}
+	return store, log, known
+}
+
+// Guards against daemons that stay stuck on a fork, that settle it differently, or that mix both histories.
+func TestSettle(t *testing.T) {
+	for _, tt := range []struct {
+		before, after []string
+		kept          string
+	}{
+		{[]string{"b", "c"}, []string{"x"}, "c"},
+		{[]string{"b"}, []string{"x", "y"}, "y"},
+		{[]string{"b"}, []string{"x"}, "x"},
+		{[]string{"y"}, []string{"x"}, "y"},
+	} {
+		for _, compact := range []bool{false, true} {
+			t.Run(fmt.Sprint(tt.before, tt.after, compact), func(t *testing.T) {
+				is := is.New(t)
+				store, log, known := fork(t, tt.before, tt.after, compact)
+				second := mangochange.New(store)
+				theirs, err := second.Poll(t.Context(), mangoprofile.New())
+				is.NoErr(err)
+				for range 2 {
+					known, err = log.Settle(t.Context(), known)
+					is.NoErr(err)
+					theirs, err = second.Settle(t.Context(), theirs)
+					is.NoErr(err)
+				}
+				fresh, err := mangochange.New(store).Poll(t.Context(), mangoprofile.New())
+				is.NoErr(err)
+				for _, book := range []*mangoprofile.Book{known, theirs, fresh} {
+					is.Equal(book.LastID(), tt.kept)
+					is.Equal(book.Revision(), fresh.Revision())
+					for i := range mangoprofile.Pages {
+						is.Equal(len(book.Page(i)), len(fresh.Page(i)))
+					}
+				}
+				propose(t, log, "later")
+				propose(t, second, "last")
+				for _, l := range []*mangochange.Log{log, second} {
+					book, err := l.Poll(t.Context(), known)
+					is.NoErr(err)
+					is.Equal(book.LastID(), "last")
+				}
+			})
+		}
+	}
+}
+
+// Guards against a writer that dies between the pages and the head of a settlement and leaves an unreadable log.
+func TestSettleCrash(t *testing.T) {
+	for step := 1; step <= 6; step++ {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			is := is.New(t)
+			store, log, known := fork(t, []string{"b", "c", "d"}, []string{"x"}, true)
+			writes := 0
+			store.Before(func(op, _ string) {
+				if op == "Put" || op == "Delete" {
+					writes++
+				}
+				store.SetDown(writes >= step)
+			})
+			if _, err := log.Settle(t.Context(), known); err != nil {
+				is.Equal(kindOf(err), mangochange.KindUnavailable)
+			}
+			store.Before(nil)
+			store.SetDown(false)
+			book, err := mangochange.New(store).Poll(t.Context(), mangoprofile.New())
+			is.NoErr(err)
+			is.True(book.LastID() == "x" || book.LastID() == "d")
+			book, err = mangochange.New(store).Settle(t.Context(), known)
+			is.NoErr(err)
+			is.Equal(book.LastID(), "d")
+		})
+	}
+}
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -41,6 +41,7 @@
 type ChangeLog interface {
 	Poll(ctx context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error)
 	Repair(ctx context.Context, known *mangoprofile.Book) error
+	Settle(ctx context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error)
 }
 
 // HostLister reads the platform's host list.
@@ -137,7 +138,10 @@
 	snapshot atomic.Pointer[Snapshot]
 	confirms confirmer
 	cursors  cursors
-	now      func() time.Time
+	forks    forks
+	// pollNow ends the wait for the next poll of the change log.
+	pollNow chan struct{}
+	now     func() time.Time
 }
 
 // New returns a controller that has to be run.
@@ -146,7 +150,7 @@
 		identity: id, log: log, lister: lister, peers: peers, engines: engines,
 		logger: logrus.StandardLogger(), meter: mangohost.NewMeter(),
 		commands: make(chan func(*state), commandQueue), news: make(chan struct{}, 1),
-		pulls: make(chan string, 16), reprobe: make(chan string, 64),
+		pulls: make(chan string, 16), reprobe: make(chan string, 64), pollNow: make(chan struct{}, 1),
 		now: time.Now,
 		times: Times{
 			Poll: time.Second, List: time.Second, Exchange: time.Second, ExchangeTimeout: time.Second,
--- /dev/null
+++ b/internal/mangocontrol/fork.go
@@ -0,0 +1,72 @@
+package mangocontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangoprofile"
+)
+
+// forks counts the forks of the change log that this daemon met and keeps what was said about the last one.
+type forks struct {
+	count atomic.Uint32
+	last  atomic.Pointer[string]
+}
+
+// Forks returns the number of forks of the change log that this daemon met since its start, and the last one.
+func (c *Controller) Forks() (uint32, string) {
+	last := c.forks.last.Load()
+	if last == nil {
+		return 0, ""
+	}
+	return c.forks.count.Load(), *last
+}
+
+// settle takes over the history that stays after a fork, or writes the known one back.
+func (c *Controller) settle(ctx context.Context, known *mangoprofile.Book, fork error, start time.Time) {
+	line := c.logger.WithFields(logrus.Fields{"event": "fork", "revision": known.Revision(), "change": known.LastID(), "fork": fork.Error()})
+	book, err := c.log.Settle(ctx, known)
+	if err != nil {
+		line.WithError(err).Error("change log has forked and could not be settled")
+		return
+	}
+	if book != known {
+		err = c.apply(ctx, func(s *state) { s.replace(book, known) })
+	}
+	message := fork.Error()
+	c.forks.last.Store(&message)
+	c.forks.count.Add(1)
+	line.WithFields(logrus.Fields{"kept": book.LastID(), "kept_revision": book.Revision()}).
+		Error("change log had forked; changes of the other history are dropped and have to be proposed again")
+	if err == nil {
+		c.takeBook(ctx, book, start)
+	}
+	c.wake()
+}
+
+// replace takes over a book of another history unless the known one changed meanwhile.
+func (s *state) replace(book, known *mangoprofile.Book) {
+	if s.book != known {
+		return
+	}
+	s.book = book
+	s.directory = s.directory.WithMarks(book.Draining)
+	s.dirty = true
+}
+
+// peerForked polls the change log at once when a peer's book is of another history.
+func (c *Controller) peerForked(err error) {
+	var known *mangopeer.Error
+	if !errors.As(err, &known) || known.Kind != mangopeer.KindFork {
+		return
+	}
+	select {
+	case c.pollNow <- struct{}{}:
+	default:
+	}
+}
--- a/internal/mangocontrol/learn.go
+++ b/internal/mangocontrol/learn.go
@@ -86,6 +86,7 @@
 	next, err := c.advance(ctx, address, book, k)
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "book_not_learned", "peer": address, "revision": k.GetRevision()}).WithError(err).Warn("peer has a newer book that could not be taken over")
+		c.peerForked(err)
 		return
 	}
 	if next == nil {
--- a/internal/mangocontrol/message.go
+++ b/internal/mangocontrol/message.go
@@ -104,7 +104,14 @@
 	return sent
 }
 
+// changesSince returns the changes after a revision and the one at it, by which the receiver notices that its history
+// is another.
 func changesSince(s *Snapshot, revision uint64) ([]*mangomessage.Entry, uint64) {
+	if revision > 0 {
+		if changes, ok := mangopeer.Delta(s.Book, revision-1); ok {
+			return changes, revision - 1
+		}
+	}
 	changes, ok := mangopeer.Delta(s.Book, revision)
 	if !ok {
 		return nil, 0
--- a/internal/mangocontrol/poll.go
+++ b/internal/mangocontrol/poll.go
@@ -29,27 +29,44 @@
 func (c *Controller) pollLog(ctx context.Context) {
 	for {
 		c.pollOnce(ctx)
-		if !pause(ctx, c.times.Poll*time.Duration(c.Snapshot().Local)) {
+		if !c.awaitPoll(ctx, c.times.Poll*time.Duration(c.Snapshot().Local)) {
 			return
 		}
 	}
 }
 
-// pollOnce reads the change log and reports whether it could be read.
-func (c *Controller) pollOnce(ctx context.Context) bool {
+// awaitPoll waits like pause, or until a poll is asked for.
+func (c *Controller) awaitPoll(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d*4/5 + rand.N(d*2/5+1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.pollNow:
+	case <-timer.C:
+	}
+	return true
+}
+
+// pollOnce reads the change log.
+func (c *Controller) pollOnce(ctx context.Context) {
 	start := c.now()
 	known := c.Snapshot().Book
 	book, err := c.log.Poll(ctx, known)
-	if kindOf(err) == mangochange.KindBehind {
+	kind := kindOf(err)
+	if kind == mangochange.KindBehind {
 		c.repair(ctx)
-		return true
+		return
+	}
+	if kind == mangochange.KindFork {
+		c.settle(ctx, known, err, start)
+		return
 	}
 	if err != nil {
 		c.logger.WithFields(logrus.Fields{"event": "poll_failed", "revision": known.Revision()}).WithError(err).Warn("change log not read")
-		return false
+		return
 	}
 	c.takeBook(ctx, book, start)
-	return true
 }
 
 func kindOf(err error) mangochange.Kind {
--- a/internal/mangocontrol/report.go
+++ b/internal/mangocontrol/report.go
@@ -96,6 +96,7 @@
 		Host: c.identity.Name, DataCentre: c.identity.DataCentre, Revision: s.Book.Revision(),
 		ConfirmedAgeMs: uint64(confirmedAge(s, c.now())), Unconfirmed: !c.Fresh(), Peers: membersOf(s, c.now()),
 	}
+	status.Forks, status.Fork = c.Forks()
 	c.meter.Shares(func(_ string, n int) { status.InFlight += uint32(n) })
 	return status
 }
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -37,16 +37,17 @@
 	operators  *mangooperator.Operators
 	ready      *readiness
 	placement  *placement
+	gauges     *gauges
 }
 
 func newDaemon(
 	settings *mangomessage.Settings, logger *logrus.Logger, controller *mangocontrol.Controller, queue *mangocustomer.Queue,
 	ledger *mangoledger.Ledger, driver *mangocall.Driver, peers *mangopeer.Client, security mangopeer.Security,
-	gateway *mangogateway.Gateway, operators *mangooperator.Operators, ready *readiness, placement *placement,
+	gateway *mangogateway.Gateway, operators *mangooperator.Operators, ready *readiness, placement *placement, gauges *gauges,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, controller: controller, queue: queue, ledger: ledger, driver: driver,
-		peers: peers, security: security, gateway: gateway, operators: operators, ready: ready, placement: placement,
+		peers: peers, security: security, gateway: gateway, operators: operators, ready: ready, placement: placement, gauges: gauges,
 	}
 }
 
@@ -79,7 +80,7 @@
 		return &Error{Op: "listen", Kind: KindStart, Err: err}
 	}
 	callers, operators := d.gateway.Server(), d.operators.Server()
-	ended := make(chan part, 8)
+	ended := make(chan part, 16)
 	running := 0
 	run := func(name string, f func() error) {
 		running++
@@ -89,6 +90,7 @@
 	run("slots", func() error { d.controller.ShareSlots(inner, d.queue); return nil })
 	run("ledger", func() error { return d.ledger.Run(inner) })
 	run("placement", func() error { d.placement.run(inner, ctx.Done()); return nil })
+	run("gauges", func() error { d.gauges.run(inner); return nil })
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("operators", func() error { return operators.Serve(listeners.operators) })
 	run("callers", func() error { return callers.Serve(listeners.callers) })
--- a/internal/mangodaemon/operate.go
+++ b/internal/mangodaemon/operate.go
@@ -34,7 +34,17 @@
 		revision, err := p.log.Check(ctx, changes...)
 		return revision, operatorError("check", err)
 	}
+	for _, c := range changes {
+		// A conflict shows the time of the change that won, also when a client did not state it.
+		if e := c.GetEntry(); e.GetAtMs() == 0 && e != nil {
+			e.AtMs = time.Now().UnixMilli()
+		}
+	}
 	revision, err := p.log.Propose(ctx, changes...)
+	if _, forked := mangochange.ForkOf(err); forked {
+		p.controller.Refresh(ctx)
+		revision, err = p.log.Propose(ctx, changes...)
+	}
 	if err != nil {
 		return 0, operatorError("propose", err)
 	}
--- a/internal/mangodaemon/provide.go
+++ b/internal/mangodaemon/provide.go
@@ -1,6 +1,7 @@
 package mangodaemon
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -30,7 +31,7 @@
 var providers = wire.NewSet(
 	provideIdentity, provideClient, provideBudget, provideLog, provideSecurity, providePeers, provideEngines, provideServices,
 	provideSuspects, provideController, provideQueue, provideLimiter, provideLedger, provideDispatcher, provideDriver,
-	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, providePlacement, newDaemon,
+	provideAdmission, provideGateway, provideOperators, provideRegistry, provideMetrics, provideReadiness, providePlacement, provideGauges, newDaemon,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
 
@@ -38,7 +39,7 @@
 
 func provideIdentity(s *mangomessage.Settings) mangocontrol.Identity {
 	return mangocontrol.Identity{
-		Name: s.Host.Name, DataCentre: s.Host.DataCentre, PeerAddress: s.Peers.Address,
+		Name: s.Host.Name, DataCentre: s.Host.DataCentre, PeerAddress: cmp.Or(s.Peers.AdvertisedAddress, s.Peers.Address),
 		// A host that is replaced or restarted starts later by the platform's clock than the one before it.
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
--- a/internal/mangodaemon/wire_gen.go
+++ b/internal/mangodaemon/wire_gen.go
@@ -46,6 +46,7 @@
 	mangodaemonReadiness := provideReadiness()
 	mangodaemonPlacement := providePlacement(settings, identity, budget, mangoupstreamClient, controller, metrics, logger)
 	operators := provideOperators(settings, controller, log, queue, suspects, registry, logger, mangodaemonReadiness, mangodaemonPlacement)
-	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReadiness, mangodaemonPlacement)
+	mangodaemonGauges := provideGauges(controller, queue, suspects, metrics)
+	daemon := newDaemon(settings, logger, controller, queue, ledger, driver, mangopeerClient, security, gateway, operators, mangodaemonReadiness, mangodaemonPlacement, mangodaemonGauges)
 	return daemon, nil
 }
--- a/internal/mangometric/metrics.go
+++ b/internal/mangometric/metrics.go
@@ -27,6 +27,7 @@
 	peers       prometheus.Gauge
 	revision    prometheus.Gauge
 	unconfirmed prometheus.Gauge
+	forks       prometheus.Gauge
 	age         prometheus.GaugeFunc
 	confirmed   atomic.Pointer[time.Time]
 }
@@ -75,6 +76,7 @@
 		peers:       gauge("live_peers", "Other entry hosts that answered lately."),
 		revision:    gauge("book_revision", "Revision of the book in force."),
 		unconfirmed: gauge("book_unconfirmed", "1 when the book could not be confirmed within the freshness bound, else 0."),
+		forks:       gauge("book_forks", "Forks of the change log that this entry host met since its start."),
 	}
 	m.age = prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "mangopath", Name: "book_confirmation_age_seconds",
@@ -86,7 +88,7 @@
 func (m *Metrics) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.calls, m.callTime, m.firstToken, m.interToken, m.routerTime, m.storeCalls, m.inFlight, m.queued, m.retries,
-		m.recoveries, m.dropped, m.orders, m.suspects, m.peers, m.revision, m.unconfirmed, m.age,
+		m.recoveries, m.dropped, m.orders, m.suspects, m.peers, m.revision, m.unconfirmed, m.forks, m.age,
 	}
 }
 
--- a/internal/mangometric/observe.go
+++ b/internal/mangometric/observe.go
@@ -68,3 +68,6 @@
 	}
 	m.unconfirmed.Set(value)
 }
+
+// Forks sets the number of forks of the change log that this entry host met since its start.
+func (m *Metrics) Forks(forks uint32) { m.forks.Set(float64(forks)) }
