Bound the engines that a crashing request takes with it

Cause: test/poison_test.go lost all 4 engines of a stage to one request within 60 ms, and killing 3 engines condemned an innocent call. The request that crashes an engine is the first to see it and its new connection is reset rather than refused, which was not taken for a crash. With fewer replicas than daemons, two daemons ran suspects on one replica, so that the second crash identified neither (3 engines lost). A call aboard two killed engines was condemned.

Ruled out: a longer settling time; the second crash then still has two candidates.

A daemon without a replica of its own waits 4 s before it shares one.

Conclusion: the bound of two holds for a caller that resends after a failure. It does not hold for simultaneous sends.

--- a/internal/mangoadmission/admission.go
+++ b/internal/mangoadmission/admission.go
@@ -43,6 +43,7 @@
 type Suspects interface {
 	Check(fingerprint string, now time.Time) mangosuspect.Verdict
 	Complete(fingerprint string, now time.Time)
+	Passed(fingerprint string, now time.Time)
 }
 
 // Driver runs completions.
@@ -116,6 +117,9 @@
 		return mangocall.Result{}, err
 	}
 	defer release()
+	if a.suspects != nil {
+		sink = progress{Sink: sink, suspects: a.suspects, fingerprint: fingerprint}
+	}
 	result, err := a.driver.Run(ctx, call, sink)
 	if err == nil && a.suspects != nil {
 		a.suspects.Complete(fingerprint, time.Now())
--- a/internal/mangocall/leg.go
+++ b/internal/mangocall/leg.go
@@ -122,8 +122,12 @@
 	if kind := upstreamKind(step); kind != mangoupstream.KindLost && kind != mangoupstream.KindNotSent {
 		return
 	}
-	if kind := upstreamKind(reopened); kind == mangoupstream.KindNotSent || kind == mangoupstream.KindNoState {
+	// A process that is ending may still take a connection and reset it, which gives Lost; the call that crashed it is the
+	// first to see that.
+	switch upstreamKind(reopened) {
+	case mangoupstream.KindNotSent, mangoupstream.KindNoState, mangoupstream.KindLost:
 		l.attempt.run.crashed, l.attempt.run.call.Suspect = true, true
 		l.attempt.run.driver.observer.Crashed(l.replica.Host, l.attempt.run.call.Fingerprint)
+	case mangoupstream.KindTimeout, mangoupstream.KindRefused, mangoupstream.KindProtocol:
 	}
 }
--- a/internal/mangocontrol/apart.go
+++ b/internal/mangocontrol/apart.go
@@ -89,12 +89,15 @@
 	return exclude
 }
 
-// Crashed reports a host that died with a call aboard; peers learn of it at once, so that a resend elsewhere is known.
+// Crashed reports a host that died with a call aboard and waits until the peers of the data centre know of it, so that a
+// resend elsewhere is known. The others learn of it from exchanges.
 func (c *Controller) Crashed(host, fingerprint string) {
 	if c.suspects == nil {
 		return
 	}
 	c.suspects.Report(mangosuspect.NewCrashID(host), []string{fingerprint}, c.now())
 	c.logger.WithFields(logrus.Fields{"event": "upstream_crashed", "host": host, "fingerprint": fingerprint}).Warn("upstream crashed with a call aboard")
+	// The call that crashed may end meanwhile; peers have to know all the same.
+	c.alertPeers(context.Background())
 	c.wake()
 }
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -139,6 +139,7 @@
 	confirms confirmer
 	cursors  cursors
 	forks    forks
+	alerts   alerts
 	// pollNow ends the wait for the next poll of the change log.
 	pollNow chan struct{}
 	now     func() time.Time
--- a/internal/mangosuspect/place.go
+++ b/internal/mangosuspect/place.go
@@ -15,7 +15,8 @@
 }
 
 // Hosts returns the candidates on which a suspect of this daemon may run now. When no candidate is left to this daemon
-// it returns the one that ranks this daemon highest, which suspects of the host's own daemon may share.
+// it returns, some time after the last crash, the one that ranks this daemon highest. Suspects of the host's own daemon
+// could share it, and by then most of them have passed the point of their crash.
 func (s *Suspects) Hosts(fingerprint string, candidates []string, now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -36,12 +37,26 @@
 			free = append(free, h)
 		}
 	}
-	if !own && best != "" && s.available(best) {
+	if !own && best != "" && s.available(best) && s.quiet(fingerprint, now) {
 		return []string{best}
 	}
 	return free
 }
 
+// shareDelay is the time after a crash before a daemon uses hosts of others for its suspects. A second crash with suspects
+// of two daemons aboard would identify neither; an innocent one passes within about 100 ms, one after the other.
+const shareDelay = 4 * time.Second
+
+// quiet reports whether the last crash of a fingerprint is long enough ago to share a host.
+func (s *Suspects) quiet(fingerprint string, now time.Time) bool {
+	for _, c := range s.aboard[fingerprint] {
+		if now.Sub(c.at) < shareDelay {
+			return false
+		}
+	}
+	return true
+}
+
 // Acquire lets a suspect run on a host if no other suspect of this daemon runs there and the call is not held until
 // the reports on its crashes have arrived.
 func (s *Suspects) Acquire(fingerprint, host string, now time.Time) bool {
--- /dev/null
+++ b/test/poison_test.go
@@ -0,0 +1,179 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const poisonText = "the prompt that crashes"
+
+// crashable starts entry hosts over replicas that a prompt crashes.
+func crashable(t *testing.T, entries, replicas int) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	for i := range entries {
+		f.entry(entryName(i), "nieuwegein")
+	}
+	for i := range 3 {
+		from, to := stage(i)
+		for r := range replicas {
+			at := f.engine(engineSpec{
+				name: fmt.Sprintf("s%d-r%d", i, r), centre: "nieuwegein", version: "v1", from: from, to: to,
+				flags: []string{"--max-batch", "32"},
+			})
+			f.faults(at, map[string]any{"CrashOnPrompt": poisonText})
+		}
+	}
+	t.Cleanup(f.crashLines)
+	f.publish()
+	f.declareCompletions()
+	f.waitServing("tekst")
+	time.Sleep(2 * time.Second) // every replica is probed and every peer known
+	return f
+}
+
+// declareCompletions declares the completions only.
+func (f *fleet) declareCompletions() {
+	f.t.Helper()
+	declare(f.t, f.entries[0],
+		change("c1", 0, customerEntry("shelter", digestOf(customerKey))),
+		change("c2", 0, profileEntry(modelProfile("tekst-v1", "v1"))),
+		change("c3", 0, aliasEntry("tekst", "tekst-v1")))
+}
+
+// lost returns the names of the engines that have ended.
+func (f *fleet) lost() []string {
+	var names []string
+	for name, p := range f.engines {
+		select {
+		case <-p.ended:
+			names = append(names, name)
+		default:
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// crashLines logs what the entry hosts wrote about crashes and refusals when the test failed.
+func (f *fleet) crashLines() {
+	if !f.t.Failed() {
+		return
+	}
+	var lines []string
+	for _, e := range f.entries {
+		for line := range strings.Lines(e.log.String()) {
+			if strings.Contains(line, "event=upstream_crashed") || strings.Contains(line, "event=quarantined") {
+				lines = append(lines, strings.TrimSpace(line)+" entry="+e.name)
+			}
+		}
+	}
+	slices.Sort(lines)
+	f.t.Log(strings.Join(lines, "\n"))
+}
+
+// innocents sends calls at intervals over all entry hosts; the result has the answers that are not the expected ones.
+func (f *fleet) innocents(calls, tokens int, interval time.Duration) func() (wrong []string) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var wrong []string
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := range calls {
+			e := f.entries[i%len(f.entries)]
+			group.Go(func() {
+				prompt := fmt.Sprintf("innocent %d", i)
+				a := complete(context.Background(), e, "tekst", prompt, tokens)
+				if !a.whole || a.text != faultFree("v1", prompt, tokens) {
+					mu.Lock()
+					wrong = append(wrong, fmt.Sprintf("%s on %s: status=%d outcome=%s whole=%v err=%v %.150s", prompt, e.name, a.status, a.outcome, a.whole, a.err, a.body))
+					mu.Unlock()
+				}
+			})
+			time.Sleep(interval)
+		}
+	}()
+	return func() []string {
+		<-ended
+		group.Wait()
+		return wrong
+	}
+}
+
+// Guards against a request that crashes every engine that runs it and takes more than two with it when its caller
+// resends it on each entry host, and against innocent calls that are refused, lost or changed because they shared a
+// replica with it.
+func TestPoisonRequest(t *testing.T) {
+	is := is.New(t)
+	f := crashable(t, 4, 4)
+	wait := f.innocents(200, 60, 20*time.Millisecond)
+	time.Sleep(time.Second) // calls run on every replica
+	var last answer
+	for round := range 2 {
+		for _, e := range f.entries {
+			begin := time.Now()
+			last = complete(context.Background(), e, "tekst", poisonText, 20)
+			t.Logf("round %d on %s: status=%d outcome=%s after %v, engines lost %v", round, e.name, last.status, last.outcome, time.Since(begin), f.lost())
+			is.True(!last.whole)
+			is.True(len(f.lost()) <= 2)
+		}
+	}
+	is.Equal(last.outcome, "Rejected")
+	is.True(strings.Contains(last.body, "Quarantine"))
+	for _, e := range f.entries {
+		a := complete(context.Background(), e, "tekst", poisonText, 20)
+		is.Equal(a.outcome, "Rejected") // on every entry host
+	}
+	wrong := wait()
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("engines lost %v, innocent calls wrong %d of 200", f.lost(), len(wrong))
+	is.True(len(f.lost()) <= 2)
+}
+
+// Guards against a caller that sends the request to all entry hosts at the same moment.
+func TestPoisonRequestOnAllEntryHostsAtOnce(t *testing.T) {
+	f := crashable(t, 4, 6)
+	wait := f.innocents(100, 60, 20*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	var group sync.WaitGroup
+	for _, e := range f.entries {
+		group.Go(func() { complete(context.Background(), e, "tekst", poisonText, 20) })
+	}
+	group.Wait()
+	wrong := wait()
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("engines lost %v", f.lost())
+	for _, e := range f.entries {
+		is.New(t).Equal(complete(context.Background(), e, "tekst", poisonText, 20).outcome, "Rejected")
+	}
+}
+
+// Guards against calls that are condemned because hosts died under them for another reason.
+func TestKilledEnginesCondemnNobody(t *testing.T) {
+	is := is.New(t)
+	f := crashable(t, 4, 4)
+	wait := f.innocents(200, 60, 20*time.Millisecond)
+	for i := range 3 {
+		time.Sleep(1200 * time.Millisecond)
+		f.engines[fmt.Sprintf("s%d-r%d", i, i)].kill()
+	}
+	wrong := wait()
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	for _, e := range f.entries {
+		is.True(!strings.Contains(e.log.String(), "event=quarantined"))
+	}
+}
