--- a/internal/mangocall/leg.go
+++ b/internal/mangocall/leg.go
@@ -78,6 +78,8 @@
 	if kind := upstreamKind(step); kind != mangoupstream.KindLost && kind != mangoupstream.KindNotSent {
 		return
 	}
+	// A process that is ending may still take a connection and reset it, which gives Lost; the call that crashed it is the
+	// first to see that.
 	kind := upstreamKind(reopened)
 	if kind != mangoupstream.KindNotSent && kind != mangoupstream.KindNoState && kind != mangoupstream.KindLost {
 		return
--- a/internal/mangocontrol/apart.go
+++ b/internal/mangocontrol/apart.go
@@ -52,13 +52,10 @@
 		return mangocall.Assignment{}, false
 	}
 	var taken []string
-	passed := func() {
+	giveBack := func() {
 		for _, host := range taken {
 			c.suspects.Release(request.Fingerprint, host)
 		}
-	}
-	giveBack := func() {
-		passed()
 		assignment.Release()
 	}
 	for _, stage := range assignment.Chain.Stages {
@@ -69,7 +66,8 @@
 		taken = append(taken, stage.Replica.Host)
 	}
 	return mangocall.Assignment{
-		Chain: assignment.Chain, Release: sync.OnceFunc(giveBack), Passed: passed,
+		Chain: assignment.Chain, Release: sync.OnceFunc(giveBack),
+		Passed:  func() { c.suspects.Passed(request.Fingerprint, c.now()) },
 		Cleared: func() { c.suspects.Complete(request.Fingerprint, c.now()) },
 	}, true
 }
@@ -96,12 +94,15 @@
 	return exclude
 }
 
-// Crashed reports a host that died with a call aboard; peers learn of it at once, so that a resend elsewhere is known.
+// Crashed reports a host that died with a call aboard and waits until the peers of the data centre know of it, so that a
+// resend elsewhere is known. The others learn of it from exchanges.
 func (c *Controller) Crashed(host, fingerprint string) {
 	if c.suspects == nil {
 		return
 	}
 	c.suspects.Report(mangosuspect.NewCrashID(host), []string{fingerprint}, c.now())
 	c.logger.WithFields(logrus.Fields{"event": "upstream_crashed", "host": host, "fingerprint": fingerprint}).Warn("upstream crashed with a call aboard")
+	// The call that crashed may end meanwhile; peers have to know all the same.
+	c.alertPeers(context.Background())
 	c.wake()
 }
--- a/internal/mangocontrol/controller.go
+++ b/internal/mangocontrol/controller.go
@@ -44,6 +44,7 @@
 type ChangeLog interface {
 	Poll(ctx context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error)
 	Repair(ctx context.Context, known *mangoprofile.Book) error
+	Settle(ctx context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error)
 }
 
 // HostLister reads the platform's host list.
@@ -68,6 +69,7 @@
 	Hosts(fingerprint string, candidates []string, now time.Time) []string
 	Acquire(fingerprint, host string, now time.Time) bool
 	Release(fingerprint, host string)
+	Passed(fingerprint string, now time.Time)
 	Report(crashID string, fingerprints []string, now time.Time)
 	Complete(fingerprint string, now time.Time)
 	News(after uint64, now time.Time) ([]*mangomessage.Suspicion, uint64)
@@ -141,7 +143,11 @@
 	snapshot atomic.Pointer[Snapshot]
 	confirms confirmer
 	cursors  cursors
-	now      func() time.Time
+	forks    forks
+	alerts   alerts
+	// pollNow ends the wait for the next poll of the change log.
+	pollNow chan struct{}
+	now     func() time.Time
 }
 
 // New returns a controller that has to be run.
@@ -150,7 +156,7 @@
 		identity: id, log: log, lister: lister, peers: peers, engines: engines,
 		logger: logrus.StandardLogger(), meter: mangohost.NewMeter(),
 		commands: make(chan func(*state), commandQueue), news: make(chan struct{}, 1),
-		pulls: make(chan string, 16), reprobe: make(chan string, 64),
+		pulls: make(chan string, 16), reprobe: make(chan string, 64), pollNow: make(chan struct{}, 1),
 		now: time.Now,
 		times: Times{
 			Poll: time.Second, List: time.Second, Exchange: time.Second, ExchangeTimeout: time.Second,
--- a/internal/mangocontrol/fresh_test.go
+++ b/internal/mangocontrol/fresh_test.go
@@ -31,6 +31,10 @@
 	return w.store, nil
 }
 
+func (w *world) Settle(_ context.Context, known *mangoprofile.Book) (*mangoprofile.Book, error) {
+	return known, nil
+}
+
 func (w *world) Repair(context.Context, *mangoprofile.Book) error { return nil }
 
 func (w *world) Hosts(context.Context) (*mangomessage.HostList, error) {
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -90,7 +90,7 @@
 		return &Error{Op: "listen", Kind: KindStart, Err: err}
 	}
 	callers, operators := d.gateway.Server(), d.operators.Server()
-	ended := make(chan part, 8)
+	ended := make(chan part, 16)
 	running := 0
 	run := func(name string, f func() error) {
 		running++
--- a/internal/mangodaemon/gauge.go
+++ b/internal/mangodaemon/gauge.go
@@ -28,5 +28,7 @@
 		metrics.Queued(int(status.Queued))
 		metrics.Suspects(int(status.Suspects))
 		metrics.Peers(len(snapshot.Members))
+		forks, _ := r.controller.Forks()
+		metrics.Forks(forks)
 	}
 }
