--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -135,7 +135,7 @@
 	go func() {
 		for watching.Load() {
 			for i, e := range f.entries {
-				ready[i].Store(answers("http://" + e.operators + "/readyz")) //nolint:contextcheck // each probe has its own bound
+				ready[i].Store(answers("http://" + e.operators + "/readyz"))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
