Remove code that nothing uses

Cause: membership stood twice, in mangopeer and in the control state, and so did authentication, in mangocustomer and on the book; only the second of each is used. TestCustomerOfKey tests the used path as strictly; TestMembersFollowIncarnation does so for members.

--- a/internal/mangocustomer/doc.go
+++ b/internal/mangocustomer/doc.go
@@ -1,10 +1,9 @@
-// Package mangocustomer authenticates callers and divides capacity and rates among customers.
+// Package mangocustomer divides capacity and rates among customers.
 //
 // # Usage
 //
-// A call passes the authenticator, the limiter and the queue, in this order:
+// A call passes the limiter and the queue, in this order:
 //
-//	customer, ok := authenticator.Authenticate(request.Header.Get("Authorization"))
 //	err := limiter.Allow(customer, time.Now())
 //	release, err := queue.Acquire(ctx, mangocustomer.Request{Customer: customer.GetName(), Profile: "tekst"})
 //	defer release()
--- a/internal/mangocustomer/scale_test.go
+++ b/internal/mangocustomer/scale_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"runtime"
 	"testing"
@@ -19,10 +17,7 @@
 func customers() []*mangomessage.Customer {
 	list := make([]*mangomessage.Customer, many)
 	for i := range list {
-		sum := sha256.Sum256([]byte(fmt.Sprint("key", i)))
-		list[i] = &mangomessage.Customer{
-			Name: fmt.Sprint("customer", i), RatePerSecond: 10, KeyDigests: []string{hex.EncodeToString(sum[:])},
-		}
+		list[i] = &mangomessage.Customer{Name: fmt.Sprint("customer", i), RatePerSecond: 10}
 	}
 	return list
 }
@@ -39,9 +34,6 @@
 	is := is.New(t)
 	list := customers()
 	before, now := inUse(), time.Now()
-	a, err := NewAuthenticator(list)
-	is.NoErr(err)
-	keys := inUse()
 	l, q := NewLimiter(), NewQueue(WithMaxQueue(many))
 	q.SetSlots("p", 1)
 	for _, c := range list {
@@ -53,52 +45,12 @@
 		is.True(failed == nil)
 	}
 	queued := inUse()
-	t.Logf("bytes for a customer: authenticator %d, limiter %d, queue with a call of each %d",
-		(keys-before)/many, (rates-keys)/many, (queued-rates)/many)
+	t.Logf("bytes for a customer: limiter %d, queue with a call of each %d", (rates-before)/many, (queued-rates)/many)
 	is.True(queued-before < 32<<20)
-	_, ok := a.Authenticate("Bearer key16999")
-	is.True(ok)
 	runtime.KeepAlive(l)
 	runtime.KeepAlive(q)
 }
 
-// Guards against keys that pass for another customer's and digests that identify nobody.
-func TestAuthenticator(t *testing.T) {
-	list := customers()[:2]
-	a, err := NewAuthenticator(list)
-	is.New(t).NoErr(err)
-	tests := []struct {
-		header, customer string
-	}{
-		{"Bearer key1", "customer1"},
-		{"bearer key0", "customer0"},
-		{"Bearer key2", ""},
-		{"Bearer " + list[0].GetKeyDigests()[0], ""},
-		{"Basic key1", ""},
-		{"Bearer ", ""},
-		{"", ""},
-	}
-	for _, tt := range tests {
-		t.Run(tt.header, func(t *testing.T) {
-			c, ok := a.Authenticate(tt.header)
-			is.New(t).Equal(c.GetName(), tt.customer)
-			is.New(t).Equal(ok, tt.customer != "")
-		})
-	}
-	for _, bad := range []string{"", "12", "zz", list[0].GetKeyDigests()[0]} {
-		other := &mangomessage.Customer{Name: "other", KeyDigests: []string{bad}}
-		_, err := NewAuthenticator(append(list, other))
-		is.New(t).True(err != nil)
-	}
-}
-
-func BenchmarkAuthenticate(b *testing.B) {
-	a, _ := NewAuthenticator(customers())
-	for b.Loop() {
-		a.Authenticate("Bearer key123")
-	}
-}
-
 func BenchmarkAcquireFree(b *testing.B) {
 	q := NewQueue()
 	q.SetSlots("p", 1)
--- a/internal/mangopeer/bench_test.go
+++ b/internal/mangopeer/bench_test.go
@@ -13,7 +13,7 @@
 )
 
 func exchangeRequest(members, shares int) *mangomessage.ExchangeRequest {
-	r := &mangomessage.ExchangeRequest{From: member("entry-000", 1764835200, 0, false), Revision: 20000, ChangesFrom: 20000}
+	r := &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: "entry-000", Incarnation: 1764835200, AgeMs: 0, Leaving: false}, Revision: 20000, ChangesFrom: 20000}
 	for i := range members {
 		r.Members = append(r.Members, &mangomessage.Member{
 			Name: fmt.Sprintf("entry-%03d", i), DataCentre: "nieuwegein", Address: fmt.Sprintf("10.0.%d.%d:7102", i/250, i%250),
--- a/internal/mangopeer/doc.go
+++ b/internal/mangopeer/doc.go
@@ -9,5 +9,5 @@
 //	defer client.Close()
 //	reply, err := client.Exchange(ctx, address, request)
 //
-// The functions on members and books are pure, so that the caller's control goroutine decides with them.
+// The functions on books are pure, so that the caller's control goroutine decides with them.
 package mangopeer
--- a/internal/mangopeer/peer_test.go
+++ b/internal/mangopeer/peer_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -137,46 +136,6 @@
 	}
 }
 
-func member(name string, incarnation uint64, age uint32, leaving bool) *mangomessage.Member {
-	return &mangomessage.Member{Name: name, Incarnation: incarnation, AgeMs: age, Leaving: leaving}
-}
-
-// Guards against members that come back to life, lose their leaving mark or stay after their death.
-func TestMergeMembers(t *testing.T) {
-	tests := []struct {
-		name        string
-		a, b        *mangomessage.Member
-		incarnation uint64
-		age         uint32
-		leaving     bool
-		gone        bool
-	}{
-		{"higher incarnation", member("a", 2, 900, false), member("a", 1, 1, true), 2, 900, false, false},
-		{"lower age", member("a", 1, 900, false), member("a", 1, 5, false), 1, 5, false, false},
-		{"leaving is sticky", member("a", 1, 900, true), member("a", 1, 5, false), 1, 5, true, false},
-		{"unseen", member("a", 1, 30000, false), member("a", 1, 40000, false), 0, 0, false, true},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			for _, order := range [][]*mangomessage.Member{{tt.a, tt.b}, {tt.b, tt.a}} {
-				got := mangopeer.MergeMembers(order[:1], order[1:])
-				is.Equal(len(got) == 0, tt.gone)
-				if !tt.gone {
-					is.Equal(got[0].GetIncarnation(), tt.incarnation)
-					is.Equal(got[0].GetAgeMs(), tt.age)
-					is.Equal(got[0].GetLeaving(), tt.leaving)
-				}
-			}
-		})
-	}
-	is := is.New(t)
-	is.Equal(len(mangopeer.AgeMembers([]*mangomessage.Member{member("a", 1, 29000, false)}, time.Second)), 0)
-	is.Equal(len(mangopeer.Pick(rand.New(rand.NewPCG(1, 1)), []*mangomessage.Member{member("a", 1, 0, false), member("b", 1, 0, false)}, "a", 3)), 1)
-	now := time.Now()
-	is.Equal(mangopeer.ConfirmedAge(now, now.Add(time.Second), 500), 1500*time.Millisecond)
-}
-
 func customers(t *testing.T, n int) *mangoprofile.Book {
 	t.Helper()
 	book := mangoprofile.New()
