Report readiness only once slots follow from the probed upstreams

Cause: after the merge of kept views, the readiness check read a view from before the probes, which had no capacity, so an entry host was ready up to 300 ms before its queue had slots and refused calls (NotRun, 2 of 80 in 2 of 4 runs of TestEntryHostsReplacedOneByOne). Ruled out: the drain of the host that was stopped; its last calls were answered. Change: Capacities builds its own view.

--- a/internal/mangocontrol/observe.go
+++ b/internal/mangocontrol/observe.go
@@ -61,7 +61,8 @@
 	return s.Directory.ListAsOf() > 0
 }
 
-// Capacities returns the number of calls that the engines run at once, by pool, for the pools that have any.
+// Capacities returns the number of calls that the engines run at once, by pool, for the pools that have any. It does
+// not use kept views, which lag behind the probes that an entry host makes at its start.
 func (c *Controller) Capacities() map[string]int {
 	s := c.Snapshot()
 	capacities := map[string]int{}
@@ -70,7 +71,7 @@
 		if profile.GetKind() != KindCompletion {
 			continue
 		}
-		if n := mangochain.Capacity(s.View(profile), profile); n > 0 {
+		if n := mangochain.Capacity(s.view(profile), profile); n > 0 {
 			capacities[Pool(profile)] = n
 		}
 	}
--- a/internal/mangocontrol/snapshot.go
+++ b/internal/mangocontrol/snapshot.go
@@ -44,12 +44,20 @@
 // Pool names the replicas that serve a profile: those of one model and version.
 func Pool(profile *mangomessage.Profile) string { return profile.Model + "@" + profile.Version }
 
-// View returns the replicas that hold the model and version of a profile.
+// View returns the replicas that hold the model and version of a profile; it may be as old as the last change of hosts
+// or the refresh interval.
 func (s *Snapshot) View(profile *mangomessage.Profile) mangochain.View {
 	pool := Pool(profile)
 	if v, ok := s.views.Load(pool); ok {
 		return v.(mangochain.View)
 	}
+	view := s.view(profile)
+	s.views.Store(pool, view)
+	return view
+}
+
+// view builds the view of a profile from the directory of this snapshot.
+func (s *Snapshot) view(profile *mangomessage.Profile) mangochain.View {
 	view := mangochain.View{Local: s.identity.DataCentre, Daemons: s.Daemons, Links: s.links}
 	for h := range s.Directory.All(mangohost.RoleEngine) {
 		if h.Engine == nil || h.Engine.Model != profile.Model || h.Engine.Version != profile.Version {
@@ -57,7 +65,6 @@
 		}
 		view.Replicas = append(view.Replicas, s.replica(h))
 	}
-	s.views.Store(pool, view)
 	return view
 }
 
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -93,7 +93,7 @@
 		p.signal(syscall.SIGKILL)
 		<-p.ended
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", name, tail(p.log.String(), 6000))
+			t.Logf("log of %s:\n%s", name, tail(p.log.String(), 60000))
 		}
 	})
 	return p
