--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 generate:
 	$(BUF) generate
-	$(TOOL) wire gen ./internal/mangodaemon
+	$(TOOL) wire gen ./internal/mangodaemon ./internal/mangoentry
 
 check-generated: generate
 	git diff --exit-code -- '*.pb.go' '*wire_gen.go'
--- /dev/null
+++ b/internal/mangobudget/budget.go
@@ -0,0 +1,91 @@
+package mangobudget
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit is what all daemons together may send beyond the first try of each request.
+type Limit struct {
+	// Ratio is the number of retries for each request.
+	Ratio float64
+	// Slack is the number of retries in a window beside the ratio.
+	Slack float64
+	// Window is the span in which retries are counted.
+	Window time.Duration
+}
+
+// reserve is the part of the budget that is left unspent: requests and retries arrive later than they are counted here,
+// and may so fall into the next window.
+const reserve = 0.15
+
+// Budget counts the requests and retries of one daemon. It is safe for concurrent use.
+type Budget struct {
+	mu       sync.Mutex
+	// start is the origin of the times in windows; steps of the time of day do not change the distance to it.
+	start    time.Time
+	limit    Limit
+	services map[string]*account
+	// most is the highest number of daemons seen. A daemon that is out of sight may still spend its share.
+	most int
+}
+
+// account has the times of requests and retries of a service in the window.
+type account struct {
+	requests window
+	retries  window
+}
+
+// New returns a budget without requests.
+func New(limit Limit) *Budget {
+	return &Budget{start: time.Now(), limit: limit, services: map[string]*account{}, most: 1}
+}
+
+// SetLimit replaces the limit after a change of the settings.
+func (b *Budget) SetLimit(limit Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+func (b *Budget) account(service string) *account {
+	a := b.services[service]
+	if a == nil {
+		a = &account{}
+		b.services[service] = a
+	}
+	return a
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(service).requests.add(now.Sub(b.start), b.limit.Window)
+}
+
+// Take spends one retry if the budget allows; daemons is the number of daemons that share it.
+func (b *Budget) Take(service string, daemons int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = max(b.most, daemons)
+	a := b.account(service)
+	if float64(a.retries.count(now.Sub(b.start), b.limit.Window))+1 > b.allowance(a, now) {
+		return false
+	}
+	a.retries.add(now.Sub(b.start), b.limit.Window)
+	return true
+}
+
+// Left returns the retries that may be sent now.
+func (b *Budget) Left(service string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(service)
+	return max(0, b.allowance(a, now)-float64(a.retries.count(now.Sub(b.start), b.limit.Window)))
+}
+
+func (b *Budget) allowance(a *account, now time.Time) float64 {
+	requests := float64(a.requests.count(now.Sub(b.start), b.limit.Window))
+	return (b.limit.Ratio*requests + b.limit.Slack/float64(b.most)) * (1 - reserve)
+}
--- /dev/null
+++ b/internal/mangoentry/provide.go
@@ -0,0 +1,151 @@
+package mangoentry
+
+import (
+	"crypto/rand"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangometric"
+	"mangopath.org/mangopath/internal/mangonews"
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangorelay"
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/internal/mangosuspect"
+	"mangopath.org/mangopath/internal/mangotenure"
+	"mangopath.org/mangopath/pkg/mangomessage"
+	"mangopath.org/mangopath/platform"
+)
+
+const (
+	// placementLease is short, since lost layers are not replaced while nobody holds it.
+	placementLease = 2 * time.Second
+	// memberLease is the time for which a daemon that stopped is still counted.
+	memberLease = 4 * time.Second
+	// storeCallTimeout bounds a call that keeps a lease.
+	storeCallTimeout = 600 * time.Millisecond
+)
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// boot identifies this start of the daemon.
+type boot string
+
+func provideBoot() boot { return boot(rand.Text()[:12]) }
+
+func provideSelf(s *mangomessage.RelaySettings) mangostate.Member {
+	return mangostate.Member{Name: s.GetHost().GetName(), Address: s.GetPeers().GetAddress()}
+}
+
+func provideStore(s *mangomessage.RelaySettings, metrics *mangometric.Relay) *platform.Store {
+	return platform.NewStore(s.GetStore().GetAddress(), milliseconds(s.GetStore().GetTimeout()), platform.WithCallObserver(metrics.Store))
+}
+
+func provideController(store *platform.Store, board *mangoreplica.Board, logger *logrus.Logger) *mangostate.Controller {
+	return mangostate.New(platform.NewFeed(store), board, mangostate.WithLogger(logger))
+}
+
+func provideBudget(s *mangomessage.RelaySettings) *mangobudget.Budget {
+	return mangobudget.New(retryLimit(s))
+}
+
+func retryLimit(s *mangomessage.RelaySettings) mangobudget.Limit {
+	r := s.GetRetry()
+	return mangobudget.Limit{Ratio: r.GetRatio(), Slack: float64(r.GetSlack()), Window: milliseconds(r.GetWindow())}
+}
+
+func provideSuspects(s *mangomessage.RelaySettings) *mangosuspect.Suspects {
+	return mangosuspect.New(s.GetHost().GetName())
+}
+
+func providePeers(s *mangomessage.RelaySettings) *mangopeer.Client {
+	return mangopeer.NewClient(provideSecurity(s))
+}
+
+func provideSecurity(s *mangomessage.RelaySettings) mangopeer.Security {
+	return mangopeer.SharedKey([]byte(s.GetPeers().GetSharedKey()))
+}
+
+func provideNews(
+	self mangostate.Member, client *mangopeer.Client, state *mangostate.Controller, board *mangoreplica.Board,
+	suspects *mangosuspect.Suspects, logger *logrus.Logger,
+) *mangonews.News {
+	return mangonews.New(self, client, state, board, suspects, mangonews.WithLogger(logger))
+}
+
+func provideEngines(dialer *mangoconn.Dialer) *platform.Engines { return platform.NewEngines(dialer) }
+
+func provideRelay(
+	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, board *mangoreplica.Board,
+	budget *mangobudget.Budget, suspects *mangosuspect.Suspects, engines *platform.Engines, news *mangonews.News,
+	metrics *mangometric.Relay, phase *phase, logger *logrus.Logger,
+) *mangorelay.Relay {
+	return mangorelay.New(
+		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, board, budget, suspects,
+		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithHerald(news),
+		mangorelay.WithObserver(metrics), mangorelay.WithClosing(phase.stopping),
+	)
+}
+
+// placementTenure is the right to give orders to engines.
+type placementTenure struct{ *mangotenure.Tenure }
+
+// membership announces this daemon to the others.
+type membership struct{ *mangotenure.Tenure }
+
+// subscription is a lookup with a signal of its own.
+type subscription struct {
+	*mangostate.Controller
+	changed <-chan struct{}
+}
+
+// Changed implements mangotenure.Lookup.
+func (s subscription) Changed() <-chan struct{} { return s.changed }
+
+func provideTenure(
+	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, logger *logrus.Logger,
+) placementTenure {
+	owner := self.Name + "/" + string(b)
+	return placementTenure{mangotenure.New(
+		store, mangostate.PlacementKey, owner, subscription{state, state.Subscribe()}, mangotenure.WithLifetime(placementLease),
+		mangotenure.WithTimeout(storeCallTimeout), mangotenure.WithObserver(tenureObserver(logger, "placement")),
+	)}
+}
+
+func provideMembership(
+	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, logger *logrus.Logger,
+) membership {
+	return membership{mangotenure.New(
+		store, mangostate.MemberKey(self.Name, string(b)), self.Address, subscription{state, state.Subscribe()},
+		mangotenure.WithLifetime(memberLease), mangotenure.WithTimeout(storeCallTimeout),
+		mangotenure.WithObserver(tenureObserver(logger, "membership")),
+	)}
+}
+
+func tenureObserver(logger *logrus.Logger, duty string) mangotenure.Observer {
+	return func(holds bool, fence uint64, err error) {
+		entry := logger.WithFields(logrus.Fields{"duty": duty, "fence": fence})
+		if holds {
+			entry.WithField("event", "lease_won").Info("this daemon holds the lease")
+			return
+		}
+		entry.WithField("event", "lease_lost").WithError(err).Warn("this daemon no longer holds the lease")
+	}
+}
+
+func providePlacer(
+	state *mangostate.Controller, tenure placementTenure, engines *platform.Engines, board *mangoreplica.Board,
+	metrics *mangometric.Relay, logger *logrus.Logger,
+) *mangolayout.Placer {
+	return mangolayout.New(
+		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order),
+		mangolayout.WithSignal(state.Subscribe()),
+	)
+}
+
+func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
--- /dev/null
+++ b/internal/mangonews/news.go
@@ -0,0 +1,220 @@
+package mangonews
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/internal/mangosuspect"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	// batch is the pause in which news gathers; the parts of a chain are often found lost together.
+	batch = 5 * time.Millisecond
+	// sendTimeout bounds one message to one daemon.
+	sendTimeout = 500 * time.Millisecond
+	// maxHeard bounds how long a replica is avoided on another daemon's word, which may see less than this one.
+	maxHeard = 1500 * time.Millisecond
+	// maxWaiting bounds the outages that wait to be told.
+	maxWaiting = 1024
+	// repeatUnreached is the pause before daemons that did not answer are told again.
+	repeatUnreached = time.Second
+)
+
+// Exchanger sends a message to a daemon.
+type Exchanger interface {
+	Exchange(ctx context.Context, address string, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error)
+}
+
+// State returns what is known from the store.
+type State interface {
+	View() *mangostate.View
+}
+
+// News sends and receives news. Its methods are safe for concurrent use.
+type News struct {
+	self     mangostate.Member
+	client   Exchanger
+	state    State
+	board    *mangoreplica.Board
+	suspects *mangosuspect.Suspects
+	logger   logrus.FieldLogger
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	waiting []mangoreplica.Outage
+	// told is the position in the log of suspects up to which each daemon was told.
+	told map[string]uint64
+	// unreached has the daemons that did not answer last time.
+	unreached map[string]bool
+}
+
+var _ mangopeer.Handler = (*News)(nil)
+
+// Option sets a property of News.
+type Option func(*News)
+
+// WithLogger sets the logger.
+func WithLogger(l logrus.FieldLogger) Option { return func(n *News) { n.logger = l } }
+
+// New returns News of a daemon.
+func New(
+	self mangostate.Member, client Exchanger, state State, board *mangoreplica.Board, suspects *mangosuspect.Suspects, opts ...Option,
+) *News {
+	n := &News{
+		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
+		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{},
+	}
+	for _, o := range opts {
+		o(n)
+	}
+	return n
+}
+
+// Announce queues an outage for the other daemons. It never blocks.
+func (n *News) Announce(o mangoreplica.Outage) {
+	n.mu.Lock()
+	if len(n.waiting) < maxWaiting {
+		n.waiting = append(n.waiting, o)
+	}
+	n.mu.Unlock()
+	n.Crashed()
+}
+
+// Crashed says that there is something new about requests that crash replicas. It never blocks.
+func (n *News) Crashed() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends news until the context ends.
+func (n *News) Run(ctx context.Context) error {
+	again := time.NewTicker(repeatUnreached)
+	defer again.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-again.C:
+			n.mu.Lock()
+			idle := len(n.unreached) == 0
+			n.mu.Unlock()
+			if idle {
+				continue
+			}
+		case <-n.wake:
+		}
+		timer := time.NewTimer(batch)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+		n.send(ctx)
+	}
+}
+
+// send tells all other daemons what is new.
+func (n *News) send(ctx context.Context) {
+	n.mu.Lock()
+	outages := n.waiting
+	n.waiting = nil
+	n.mu.Unlock()
+	now := time.Now()
+	var messages []*mangomessage.Outage
+	for _, o := range outages {
+		messages = append(messages, &mangomessage.Outage{
+			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)),
+		})
+	}
+	var group sync.WaitGroup
+	for _, m := range n.state.View().Members {
+		if m.Name == n.self.Name {
+			continue
+		}
+		group.Go(func() { n.tell(ctx, m, messages, now) })
+	}
+	group.Wait()
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
+
+func (n *News) tell(ctx context.Context, m mangostate.Member, outages []*mangomessage.Outage, now time.Time) {
+	n.mu.Lock()
+	after := n.told[m.Name]
+	n.mu.Unlock()
+	suspicions, next := n.suspects.News(after, now)
+	if len(outages) == 0 && len(suspicions) == 0 {
+		n.reached(m.Name, next, true)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_, err := n.client.Exchange(ctx, m.Address, &mangomessage.ExchangeRequest{
+		From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}, Outages: outages, Suspicions: suspicions,
+	})
+	if err != nil {
+		n.logger.WithFields(logrus.Fields{"event": "peer_unreached", "peer": m.Name, "address": m.Address}).WithError(err).
+			Warn("a daemon could not be told of lost replicas")
+		n.reached(m.Name, after, false)
+		return
+	}
+	n.reached(m.Name, next, true)
+}
+
+// reached notes whether a daemon was told. Outages are not told again, since they are old by then; suspicions are.
+func (n *News) reached(name string, next uint64, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told[name] = next
+	if ok {
+		delete(n.unreached, name)
+		return
+	}
+	n.unreached[name] = true
+}
+
+// Exchange implements mangopeer.Handler.
+func (n *News) Exchange(_ context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
+	now := time.Now()
+	n.suspects.Merge(request.GetSuspicions(), now)
+	fleet := n.state.View().Fleet
+	for _, o := range request.GetOutages() {
+		r := fleet.ByID(o.GetReplica())
+		left := time.Duration(int64(o.GetHoldMs())-int64(o.GetAgeMs())) * time.Millisecond
+		if r == nil || left <= 0 {
+			continue
+		}
+		if n.board.Avoid(r.Incarnation(), mangoreplica.Cause(o.GetCause()), min(left, maxHeard), now) {
+			n.logger.WithFields(logrus.Fields{
+				"event": "replica_avoided", "replica": r.ID, "address": r.Address, "cause": o.GetCause(),
+				"peer": request.GetFrom().GetName(), "age_ms": o.GetAgeMs(), "hold_ms": min(left, maxHeard).Milliseconds(),
+			}).Warn("another daemon found a replica lost")
+		}
+	}
+	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}}, nil
+}
+
+// errNotServed answers calls that belong to daemons with a book of profiles.
+func errNotServed(op string) error {
+	return errors.Errorf("mangonews: %s is not served by this daemon", op)
+}
+
+// Fetch implements mangopeer.Handler.
+func (n *News) Fetch(context.Context, *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
+	return nil, errNotServed("Fetch")
+}
+
+// Status implements mangopeer.Handler.
+func (n *News) Status(context.Context, *mangomessage.StatusRequest) (*mangomessage.StatusReply, error) {
+	return nil, errNotServed("Status")
+}
--- /dev/null
+++ b/internal/mangopipeline/chain.go
@@ -0,0 +1,67 @@
+package mangopipeline
+
+import (
+	"strings"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+)
+
+// Part is a replica with the layers that a request uses there.
+type Part struct {
+	Replica *mangoreplica.Replica
+	Layers  mangoreplica.Range
+}
+
+// Chain is a sequence of replicas whose layers join without gap or overlap.
+type Chain struct {
+	DataCentre string
+	Parts      []Part
+	// Cost is the predicted time of a token on all parts.
+	Cost time.Duration
+	// Pressure is the share of the memory for requests that is in use on the fullest part, by this daemon's estimate.
+	Pressure float64
+}
+
+// IDs returns the ids of the replicas in order.
+func (c Chain) IDs() []string {
+	ids := make([]string, len(c.Parts))
+	for i, p := range c.Parts {
+		ids[i] = p.Replica.ID
+	}
+	return ids
+}
+
+// String lists the replicas as it appears in logs.
+func (c Chain) String() string { return strings.Join(c.IDs(), ">") }
+
+// Loads tells what is known about a replica beyond its entry.
+type Loads interface {
+	Avoided(r mangoreplica.Incarnation, now time.Time) bool
+	InFlight(id string) (requests int, tokens float64)
+}
+
+// View is the state that a choice is made from.
+type View struct {
+	Replicas []*mangoreplica.Replica
+	Engine   *mangoroute.Engine
+	Loads    Loads
+	// Local is the data centre of this daemon.
+	Local string
+	// Daemons is the number of daemons that send requests to the same replicas.
+	Daemons int
+	Now     time.Time
+}
+
+// Request is what a choice depends on besides the view.
+type Request struct {
+	// Tokens is the number of tokens that the request will hold in memory.
+	Tokens float64
+	// Exclude has the ids of replicas that must not be used.
+	Exclude map[string]bool
+	// Penalty adds to the cost of data centres in which the request failed before.
+	Penalty map[string]time.Duration
+	// Random returns numbers in [0, 1).
+	Random func() float64
+}
--- /dev/null
+++ b/internal/mangorelay/events.go
@@ -0,0 +1,60 @@
+package mangorelay
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventBuffer gathers the bytes of a stream and releases whole events only.
+type eventBuffer struct {
+	pending []byte
+	// last is the id of the last event released.
+	last uint64
+	seen bool
+	// gap says that an event was released whose id does not follow the one before it.
+	gap bool
+}
+
+// add takes bytes and returns the whole events among them; they are valid until the next call.
+func (b *eventBuffer) add(data []byte) []byte {
+	b.pending = append(b.pending, data...)
+	end := eventEnd(b.pending)
+	if end == 0 {
+		return nil
+	}
+	whole := b.pending[:end]
+	b.note(whole)
+	rest := b.pending[end:]
+	b.pending = append([]byte(nil), rest...)
+	return whole
+}
+
+// eventEnd returns the length of the whole events at the start of data; an event ends with an empty line.
+func eventEnd(data []byte) int {
+	end := 0
+	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+// note remembers the ids of events.
+func (b *eventBuffer) note(events []byte) {
+	for line := range bytes.Lines(events) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			continue
+		}
+		if b.seen && id != b.last+1 {
+			b.gap = true
+		}
+		b.last, b.seen = id, true
+	}
+}
--- /dev/null
+++ b/internal/mangorelay/relay.go
@@ -0,0 +1,163 @@
+package mangorelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/internal/mangosuspect"
+)
+
+// Exchanger sends a request to an upstream.
+type Exchanger interface {
+	Exchange(
+		ctx context.Context, address string, request *http.Request, connect time.Duration, patience mangoconn.Patience,
+	) (*mangoconn.Response, error)
+}
+
+// State returns what is known from the store.
+type State interface {
+	View() *mangostate.View
+}
+
+// Prober asks the first replica of a chain which replica a request waits for.
+type Prober interface {
+	Stalled(ctx context.Context, replica *mangoreplica.Replica) ([]Stall, error)
+}
+
+// Stall is a request that waits for a replica that was lost.
+type Stall struct {
+	// Request is the caller's id of the attempt.
+	Request string
+	// Address is that of the lost replica.
+	Address string
+}
+
+// Herald tells the other daemons of lost replicas. It never blocks.
+type Herald interface {
+	Announce(o mangoreplica.Outage)
+	// Crashed says that there is something new about requests that crash replicas.
+	Crashed()
+}
+
+// Observer counts what the relay does. It never blocks.
+type Observer interface {
+	Request(route, kind, outcome string, status int, took time.Duration)
+	FirstEvent(route string, took time.Duration)
+	Send(service, result string)
+	Retry(service, reason string)
+}
+
+// Relay serves requests. Its methods are safe for concurrent use.
+type Relay struct {
+	state    State
+	codec    Codec
+	dialer   Exchanger
+	prober   Prober
+	herald   Herald
+	board    *mangoreplica.Board
+	budget   *mangobudget.Budget
+	suspects *mangosuspect.Suspects
+	observer Observer
+	logger   logrus.FieldLogger
+	name     string
+	local    string
+	random   func() float64
+	closing  func() bool
+	aboard   *manifest
+	probes   *probes
+	pace     pace
+	jobs     sync.WaitGroup
+}
+
+// Option sets a property of a Relay.
+type Option func(*Relay)
+
+// WithLogger sets the logger of decisions.
+func WithLogger(l logrus.FieldLogger) Option { return func(r *Relay) { r.logger = l } }
+
+// WithObserver sets the receiver of counts.
+func WithObserver(o Observer) Option { return func(r *Relay) { r.observer = o } }
+
+// WithProber sets the means to find out which replica a stalled request waits for.
+func WithProber(p Prober) Option { return func(r *Relay) { r.prober = p } }
+
+// WithHerald sets the means to tell other daemons of lost replicas.
+func WithHerald(h Herald) Option { return func(r *Relay) { r.herald = h } }
+
+// WithRandom replaces the source of random numbers in [0, 1).
+func WithRandom(f func() float64) Option { return func(r *Relay) { r.random = f } }
+
+// WithClosing sets the function that says whether connections of callers are to end with their answers.
+func WithClosing(f func() bool) Option { return func(r *Relay) { r.closing = f } }
+
+// New returns a relay of a daemon in a data centre.
+func New(
+	dataCentre string, state State, codec Codec, dialer Exchanger, board *mangoreplica.Board, budget *mangobudget.Budget,
+	suspects *mangosuspect.Suspects, opts ...Option,
+) *Relay {
+	r := &Relay{
+		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
+		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
+		closing: func() bool { return false }, aboard: newManifest(), probes: newProbes(),
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Wait returns when the goroutines that requests left behind have ended.
+func (r *Relay) Wait() { r.jobs.Wait() }
+
+// avoid notes an outage, tells the other daemons of a lost replica and logs the change of belief.
+func (r *Relay) avoid(replica *mangoreplica.Replica, cause mangoreplica.Cause, hold time.Duration, request string) {
+	now := time.Now()
+	if !r.board.Avoid(replica.Incarnation(), cause, hold, now) {
+		return
+	}
+	r.logger.WithFields(logrus.Fields{
+		"event": "replica_avoided", "replica": replica.ID, "address": replica.Address, "cause": string(cause),
+		"hold_ms": hold.Milliseconds(), "request": request,
+	}).Warn("a replica gets no requests for a while")
+	if cause.Lost() {
+		r.herald.Announce(mangoreplica.Outage{Replica: replica.Incarnation(), Cause: cause, At: now, Until: now.Add(hold)})
+	}
+}
+
+// trust notes that a replica answered.
+func (r *Relay) trust(replica *mangoreplica.Replica, request string) {
+	if r.board.Clear(replica.Incarnation(), time.Now()) {
+		r.logger.WithFields(logrus.Fields{"event": "replica_back", "replica": replica.ID, "address": replica.Address, "request": request}).
+			Info("an avoided replica answered")
+	}
+}
+
+type noProber struct{}
+
+func (noProber) Stalled(context.Context, *mangoreplica.Replica) ([]Stall, error) { return nil, nil }
+
+type noHerald struct{}
+
+func (noHerald) Announce(mangoreplica.Outage) {}
+
+func (noHerald) Crashed() {}
+
+type noObserver struct{}
+
+func (noObserver) Request(string, string, string, int, time.Duration) {}
+
+func (noObserver) FirstEvent(string, time.Duration) {}
+
+func (noObserver) Send(string, string) {}
+
+func (noObserver) Retry(string, string) {}
+
--- /dev/null
+++ b/internal/mangorelay/stream.go
@@ -0,0 +1,134 @@
+package mangorelay
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangoconn"
+)
+
+const (
+	// streamBuffer holds the events that arrive together.
+	streamBuffer = 4 << 10
+	// maxBuffered bounds an answer that is gathered before it is passed on.
+	maxBuffered = 16 << 20
+)
+
+// stream passes events on as they arrive. The head of the answer waits for the first event, so that until then another
+// upstream can take over unnoticed.
+func (c *call) stream(outer, inner context.Context, t target, a Answer, response *mangoconn.Response) result {
+	c.events.pending = nil
+	data := make([]byte, streamBuffer)
+	for {
+		n, err := response.Body.Read(data)
+		if n > 0 {
+			whole := c.events.add(data[:n])
+			if c.events.gap {
+				// Events that do not follow each other must not reach the caller in one answer.
+				return c.interrupted(lost)
+			}
+			if len(whole) > 0 {
+				if failed := c.forward(a, whole); failed != nil {
+					return gone
+				}
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && len(c.events.pending) == 0 {
+			return c.complete(a)
+		}
+		return c.interrupted(c.after(outer, inner, t, mangoconn.KindOf(inner, err), err))
+	}
+}
+
+// interrupted turns a lost stream into one that cannot go on if the route does not allow it.
+func (c *call) interrupted(r result) result {
+	if r == lost && c.started && !c.route.Repeatable() {
+		return cut
+	}
+	return r
+}
+
+func (c *call) forward(a Answer, events []byte) error {
+	if !c.started {
+		c.head(a, -1)
+		c.firstEvent = time.Since(c.request.Arrived)
+		c.relay.observer.FirstEvent(c.route.Name, c.firstEvent)
+		c.relay.pace.note(c.firstEvent)
+	}
+	if _, err := c.writer.Write(events); err != nil {
+		return err
+	}
+	return c.control.Flush()
+}
+
+func (c *call) complete(a Answer) result {
+	if !c.started {
+		c.head(a, -1)
+	}
+	c.relay.suspects.Complete(c.fingerprint, time.Now())
+	return delivered
+}
+
+// head writes the status and header of an answer; length is negative if it is not known.
+func (c *call) head(a Answer, length int) {
+	c.started, c.status = true, a.Status
+	header := c.writer.Header()
+	maps.Copy(header, a.Header)
+	if length >= 0 {
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+	if _, ok := a.Header["Content-Type"]; !ok {
+		// A nil value keeps the server from guessing a type.
+		header["Content-Type"] = nil
+	}
+	if c.relay.closing() {
+		header.Set("Connection", "close")
+	}
+	c.writer.WriteHeader(a.Status)
+}
+
+// buffered is a whole answer.
+type buffered struct {
+	answer Answer
+	status int
+	body   []byte
+}
+
+// buffer gathers an answer and passes it on when it is whole. A failure is kept back if the request may be repeated.
+func (c *call) buffer(outer, inner context.Context, t target, a Answer, response *mangoconn.Response) result {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
+	if err != nil || len(body) > maxBuffered {
+		return c.after(outer, inner, t, mangoconn.KindOf(inner, err), err)
+	}
+	b := &buffered{answer: a, status: a.Status, body: body}
+	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() {
+		c.failure = b
+		c.exclude[t.first.ID] = true
+		return failed
+	}
+	if success(a.Status) {
+		c.relay.suspects.Complete(c.fingerprint, time.Now())
+	}
+	b.write(c)
+	return delivered
+}
+
+func (b *buffered) write(c *call) {
+	if c.started {
+		return
+	}
+	length := len(b.body)
+	if c.request.Method == http.MethodHead || b.status == http.StatusNoContent || b.status == http.StatusNotModified {
+		length = -1
+	}
+	c.head(b.answer, length)
+	// A caller that has left cannot be told anything.
+	_, _ = c.writer.Write(b.body)
+}
--- /dev/null
+++ b/internal/mangorelay/target.go
@@ -0,0 +1,86 @@
+package mangorelay
+
+import (
+	"time"
+
+	"mangopath.org/mangopath/internal/mangopipeline"
+	"mangopath.org/mangopath/internal/mangoreplica"
+)
+
+// target is an upstream, or a chain of them, that a request can be sent to.
+type target struct {
+	first      *mangoreplica.Replica
+	parts      []mangopipeline.Part
+	ids        []string
+	dataCentre string
+	cost       time.Duration
+	pressure   float64
+}
+
+const (
+	// remoteBusy is the share of slots in use that weighs as much as another data centre.
+	remoteBusy = 0.25
+	// spread is the random part of the cost of a replica of a plain service, as a share of its slots.
+	spread = 0.05
+)
+
+// choose returns the target for the next send of a call, or false when there is none.
+func (c *call) choose() (target, bool) {
+	view := c.relay.state.View()
+	service := c.service
+	if c.route.Pipelined && service != nil && service.Engine != nil && service.Engine.Layers > 0 {
+		return c.chooseChain(mangopipeline.View{
+			Replicas: view.Fleet.Of(service.Name), Engine: service.Engine, Loads: c.relay.board, Local: c.relay.local,
+			Daemons: len(view.Members), Now: time.Now(),
+		})
+	}
+	return c.chooseReplica(view.Fleet.Of(c.serviceName))
+}
+
+func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
+	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
+		Tokens: c.tokens(), Exclude: c.exclude, Penalty: c.penalty, Random: c.relay.random,
+	})
+	if err != nil {
+		return target{}, false
+	}
+	return target{
+		first: chain.Parts[0].Replica, parts: chain.Parts, ids: chain.IDs(), dataCentre: chain.DataCentre, cost: chain.Cost,
+		pressure: chain.Pressure,
+	}, true
+}
+
+// tokens estimates the memory of a request; the answer grows over its life, so half of it counts.
+func (c *call) tokens() float64 {
+	answer := float64(c.request.AnswerTokens)
+	if e := c.service.Engine; e.AnswerTokens > 0 {
+		answer = min(answer, 2*e.AnswerTokens)
+	}
+	return float64(c.request.PromptTokens) + answer/2
+}
+
+// chooseReplica picks the least busy replica of a plain service. Replicas that are avoided are the last resort.
+func (c *call) chooseReplica(replicas []*mangoreplica.Replica) (target, bool) {
+	now := time.Now()
+	var best *mangoreplica.Replica
+	least := 0.0
+	for _, r := range replicas {
+		if r.Draining || c.exclude[r.ID] {
+			continue
+		}
+		cost := c.relay.board.Busy(r.ID, r.Slots, now) + spread*c.relay.random()
+		if r.DataCentre != c.relay.local {
+			cost += remoteBusy
+		}
+		if c.relay.board.Avoided(r.Incarnation(), now) {
+			cost += 100
+		}
+		if best == nil || cost < least {
+			best, least = r, cost
+		}
+	}
+	if best == nil {
+		return target{}, false
+	}
+	return target{first: best, ids: []string{best.ID}, dataCentre: best.DataCentre, cost: time.Duration(least * float64(time.Millisecond))}, true
+}
--- /dev/null
+++ b/internal/mangorelay/try.go
@@ -0,0 +1,168 @@
+package mangorelay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+)
+
+const (
+	// connectTimeout is far above the round trip within a region, and short enough for a second try within the time
+	// that a plain request has.
+	connectTimeout = 200 * time.Millisecond
+	// holdLost is the time for which a replica that could not be reached is avoided; its entry goes away after about
+	// 3.5 s, and a replica that restarts is back under a new start at once.
+	holdLost = 1500 * time.Millisecond
+	// holdStalled is about the time for which engines wait for a lost part.
+	holdStalled = 2500 * time.Millisecond
+	// holdMoved is the time for the entry of a replica that changed its layers or its address to arrive.
+	holdMoved = 700 * time.Millisecond
+	// holdFaulty is for a replica that refuses or fails without being full; others serve meanwhile.
+	holdFaulty = 400 * time.Millisecond
+	// stallSigns is the time after which a refusal is taken for the end of a wait for a lost part.
+	stallSigns = 1500 * time.Millisecond
+	// fullPressure is the estimated share of memory in use from which a refusal means that there is no room.
+	fullPressure = 0.6
+	// retryPenalty sends a repeated request to another data centre unless that is much busier.
+	retryPenalty = 30 * time.Millisecond
+)
+
+// try sends the request to a target once and passes the answer on.
+func (c *call) try(outer, inner context.Context, t target) result {
+	request, err := c.relay.codec.Encode(c.send(t))
+	if err != nil {
+		c.relay.logger.WithField("request", c.request.ID).WithError(err).Error("a request cannot be encoded")
+		return lost
+	}
+	defer c.occupy(t)()
+	began := time.Now()
+	w := &watch{call: c, target: t}
+	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, w.wait)
+	if err != nil {
+		return c.broken(outer, inner, t, err)
+	}
+	defer response.Close()
+	c.arrivals++
+	answer := c.relay.codec.Decode(response.Response)
+	if answer.Slots > 0 {
+		c.relay.board.Report(t.first.ID, answer.Busy, answer.Slots, time.Now())
+	}
+	switch {
+	case answer.NotRun:
+		return c.refusedBy(t, answer, time.Since(began))
+	case !c.genuine(answer):
+		c.runs++
+		c.exclude[t.first.ID] = true
+		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+		return lost
+	}
+	c.runs++
+	c.relay.trust(t.first, c.request.ID)
+	if c.route.Kind == mangoroute.Stream && success(answer.Status) {
+		return c.stream(outer, inner, t, answer, response)
+	}
+	return c.buffer(outer, inner, t, answer, response)
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// genuine reports whether an answer belongs to this request and comes from the replica's service.
+func (c *call) genuine(a Answer) bool { return a.Sealed && a.ID == c.request.ID }
+
+func (c *call) send(t target) Send {
+	s := Send{
+		Request: c.request, Replica: t.first, Parts: t.parts, Customer: c.customer.Name, Priority: c.route.Priority,
+		LastEvent: c.events.last, Resumes: c.events.seen,
+	}
+	if c.customer.Ranked {
+		s.Priority = c.customer.Priority
+	}
+	if !c.deadline.IsZero() {
+		s.Left = max(time.Until(c.deadline), time.Millisecond)
+	}
+	return s
+}
+
+// occupy counts the request on the replicas of a target until the returned function is called.
+func (c *call) occupy(t target) func() {
+	tokens := 0.0
+	if len(t.parts) > 0 {
+		tokens = c.tokens()
+	}
+	release := c.relay.board.Begin(tokens, t.ids...)
+	leave := []func(){release, c.relay.aboard.board(t.first.Incarnation(), c.fingerprint)}
+	for _, p := range t.parts[min(1, len(t.parts)):] {
+		leave = append(leave, c.relay.aboard.board(p.Replica.Incarnation(), c.fingerprint))
+	}
+	return func() {
+		for _, f := range leave {
+			f()
+		}
+	}
+}
+
+// broken decides what a failed exchange or a body that broke off means.
+func (c *call) broken(outer, inner context.Context, t target, err error) result {
+	kind := mangoconn.KindOf(inner, err)
+	if kind != mangoconn.KindUnsent {
+		c.arrivals++
+		c.runs++
+	}
+	return c.after(outer, inner, t, kind, err)
+}
+
+func (c *call) after(outer, inner context.Context, t target, kind mangoconn.Kind, err error) result {
+	switch {
+	case outer.Err() != nil:
+		return gone
+	case inner.Err() != nil:
+		return expired
+	}
+	c.exclude[t.first.ID] = true
+	c.penalty[t.dataCentre] += retryPenalty
+	switch kind {
+	case mangoconn.KindUnsent:
+		cause := mangoreplica.CauseUnreachable
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+			cause = mangoreplica.CauseReset
+		}
+		c.relay.avoid(t.first, cause, holdLost, c.request.ID)
+		return unsent
+	case mangoconn.KindBroken:
+		c.relay.verify(t.first, c.request.ID, c.relay.aboard.fingerprints(t.first.Incarnation()))
+	case mangoconn.KindTimeout:
+		if len(t.parts) == 0 {
+			c.relay.avoid(t.first, mangoreplica.CauseSilent, holdFaulty, c.request.ID)
+		}
+	case mangoconn.KindInvalid, mangoconn.KindCancelled:
+		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+	}
+	return lost
+}
+
+// refusedBy decides what a refusal says about the replica that it names.
+func (c *call) refusedBy(t target, a Answer, took time.Duration) result {
+	fault := t.first
+	if r := c.relay.state.View().Fleet.ByAddress(a.FaultAt); r != nil {
+		fault = r
+	}
+	c.exclude[fault.ID] = true
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		c.relay.avoid(fault, mangoreplica.CauseMoved, holdMoved, c.request.ID)
+	case len(t.parts) == 0:
+		// A full replica of a plain service is left to the callers that it already has.
+	case took >= stallSigns:
+		c.relay.avoid(fault, mangoreplica.CauseStalled, holdStalled, c.request.ID)
+	case t.pressure < fullPressure:
+		c.relay.avoid(fault, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+	}
+	c.penalty[t.dataCentre] += retryPenalty
+	return refused
+}
--- /dev/null
+++ b/internal/mangorelay/watch.go
@@ -0,0 +1,191 @@
+package mangorelay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+	"mangopath.org/mangopath/internal/mangosuspect"
+)
+
+const (
+	// firstSoft and firstHard are the times without a first event after which the cause is looked for and the chain is
+	// given up. The first event comes after about 60 ms on a calm day.
+	firstSoft = 350 * time.Millisecond
+	firstHard = 900 * time.Millisecond
+	// gapSoft and gapHard are the same for the time between events, which is about 30 ms on a calm day.
+	gapSoft = 220 * time.Millisecond
+	gapHard = 600 * time.Millisecond
+	// lastHard is the limit when no other chain may be tried; callers leave a stream after 2 s of silence.
+	lastHard = 2400 * time.Millisecond
+	// stallPoll is the time between two looks at what is known about a chain that is silent.
+	stallPoll = 25 * time.Millisecond
+	// plainHardMin is the least time for which an idempotent request waits before another replica is tried.
+	plainHardMin = 250 * time.Millisecond
+	// plainHardTargets is that time in units of the route's target.
+	plainHardTargets = 2
+	// unbounded is longer than any deadline; the context ends the wait.
+	unbounded = time.Hour
+)
+
+// watch decides how long a try waits for bytes.
+type watch struct {
+	call   *call
+	target target
+}
+
+// wait implements mangoconn.Patience.
+func (w *watch) wait(silent time.Duration) time.Duration {
+	soft, hard := w.limits()
+	switch {
+	case silent >= hard:
+		return 0
+	case silent < soft:
+		return min(soft, hard) - silent
+	case len(w.target.parts) == 0:
+		return hard - silent
+	case w.partLost():
+		return 0
+	}
+	w.call.relay.diagnose(w.target.first, w.call.request.ID)
+	return min(stallPoll, hard-silent)
+}
+
+// limits returns the times of silence after which the cause is looked for and the try is given up.
+func (w *watch) limits() (soft, hard time.Duration) {
+	c := w.call
+	another := c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts
+	switch {
+	case len(w.target.parts) == 0 && c.route.Kind != mangoroute.Stream:
+		if !another {
+			return unbounded, unbounded
+		}
+		hard = max(plainHardMin, plainHardTargets*c.route.Target)
+		return hard, hard
+	case !another:
+		return firstSoft, lastHard
+	case c.started:
+		return gapSoft, max(gapHard, 2*c.route.GapTarget)
+	default:
+		return firstSoft, max(firstHard, c.relay.pace.slow())
+	}
+}
+
+// partLost reports whether a replica of the chain is known to be lost.
+func (w *watch) partLost() bool {
+	outages := w.call.relay.board.Outages(time.Now())
+	if len(outages) == 0 {
+		return false
+	}
+	for _, p := range w.target.parts {
+		if o, ok := outages[p.Replica.Incarnation()]; ok && o.Cause.Lost() {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// probeTimeout bounds a question to a replica about its stalled requests.
+	probeTimeout = 250 * time.Millisecond
+	// probeInterval is the least time between two questions to one replica; its report is about 200 ms old.
+	probeInterval = 150 * time.Millisecond
+)
+
+// probes remembers when replicas were last asked.
+type probes struct {
+	mu   sync.Mutex
+	last map[mangoreplica.Incarnation]time.Time
+}
+
+func newProbes() *probes { return &probes{last: map[mangoreplica.Incarnation]time.Time{}} }
+
+// allow reports whether a replica may be asked now.
+func (p *probes) allow(r mangoreplica.Incarnation, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.last[r]) < probeInterval {
+		return false
+	}
+	for k, at := range p.last {
+		if now.Sub(at) > time.Minute {
+			delete(p.last, k)
+		}
+	}
+	p.last[r] = now
+	return true
+}
+
+// diagnose asks the first replica of a silent chain in the background which replica is at fault.
+func (r *Relay) diagnose(first *mangoreplica.Replica, request string) {
+	if !r.probes.allow(first.Incarnation(), time.Now()) {
+		return
+	}
+	r.jobs.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		stalls, err := r.prober.Stalled(ctx, first)
+		if err != nil {
+			r.logger.WithField("replica", first.ID).WithField("request", request).WithError(err).Warn("a replica did not say what it waits for")
+			r.check(first, request, nil)
+			return
+		}
+		fleet := r.state.View().Fleet
+		for _, s := range stalls {
+			if lost := fleet.ByAddress(s.Address); lost != nil {
+				r.avoid(lost, mangoreplica.CauseStalled, holdStalled, s.Request)
+				r.crashed(lost, r.aboard.fingerprints(lost.Incarnation()))
+			}
+		}
+	})
+}
+
+// verify finds out in the background whether a replica whose connection broke still accepts connections; if not, the
+// requests aboard may have crashed it.
+func (r *Relay) verify(replica *mangoreplica.Replica, request string, aboard []string) {
+	if !r.probes.allow(replica.Incarnation(), time.Now()) {
+		return
+	}
+	r.jobs.Go(func() { r.check(replica, request, aboard) })
+}
+
+func (r *Relay) check(replica *mangoreplica.Replica, request string, aboard []string) {
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(context.Background(), "tcp", replica.Address)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	r.avoid(replica, mangoreplica.CauseReset, holdLost, request)
+	r.crashed(replica, aboard)
+}
+
+// crashed tells what was aboard a replica that crashed.
+func (r *Relay) crashed(replica *mangoreplica.Replica, aboard []string) {
+	if len(aboard) > 0 {
+		r.suspects.Report(mangosuspect.NewCrashID(replica.ID), aboard, time.Now())
+		r.herald.Crashed()
+	}
+}
+
+// pace keeps the usual time to the first event.
+type pace struct{ nanos atomic.Int64 }
+
+const (
+	// paceWeight is the weight of a new value in the mean.
+	paceWeight = 0.05
+	// paceSlow is the multiple of the mean that counts as slow, and paceMax its bound.
+	paceSlow = 4
+	paceMax  = 2 * time.Second
+)
+
+func (p *pace) note(d time.Duration) {
+	old := p.nanos.Load()
+	// A lost update by another goroutine only costs one sample.
+	p.nanos.Store(old + int64(paceWeight*float64(int64(d)-old)))
+}
+
+func (p *pace) slow() time.Duration { return min(paceSlow*time.Duration(p.nanos.Load()), paceMax) }
--- /dev/null
+++ b/internal/mangoreplica/board.go
@@ -0,0 +1,183 @@
+package mangoreplica
+
+import (
+	"sync"
+	"time"
+)
+
+// Cause names an observation because of which a replica is avoided.
+type Cause string
+
+const (
+	// CauseUnreachable means that no connection was made in time.
+	CauseUnreachable Cause = "Unreachable"
+	// CauseReset means that a connection was refused or broke.
+	CauseReset Cause = "Reset"
+	// CauseStalled means that another replica waits for this one.
+	CauseStalled Cause = "Stalled"
+	// CauseSilent means that a request got no answer in time.
+	CauseSilent Cause = "Silent"
+	// CauseFull means that the replica refused a request for want of room.
+	CauseFull Cause = "Full"
+	// CauseMoved means that another replica answered at the address or that layers were missing.
+	CauseMoved Cause = "Moved"
+	// CauseFaulty means that the replica's answer was a failure or no valid answer.
+	CauseFaulty Cause = "Faulty"
+)
+
+// Lost reports whether the cause suggests that the replica no longer runs.
+func (c Cause) Lost() bool {
+	return c == CauseUnreachable || c == CauseReset || c == CauseStalled
+}
+
+// Outage is a replica that is avoided until a time.
+type Outage struct {
+	Replica Incarnation
+	Cause   Cause
+	At      time.Time
+	Until   time.Time
+}
+
+// load is what this daemon has in flight on a replica.
+type load struct {
+	requests int
+	// tokens is the sum of the tokens of these requests.
+	tokens float64
+	// reported is the last load that the replica told, as a share of its slots.
+	reported   float64
+	reportedAt time.Time
+}
+
+// Board keeps observations about replicas. It is safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	outages map[Incarnation]Outage
+	loads   map[string]*load
+}
+
+// NewBoard returns a board without observations.
+func NewBoard() *Board {
+	return &Board{outages: map[Incarnation]Outage{}, loads: map[string]*load{}}
+}
+
+// Avoid notes an outage; it reports whether the replica was not avoided before.
+func (b *Board) Avoid(r Incarnation, cause Cause, hold time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o, known := b.outages[r]
+	fresh := !known || !o.Until.After(now)
+	if !fresh && o.Until.After(now.Add(hold)) && (o.Cause.Lost() || !cause.Lost()) {
+		return false
+	}
+	b.outages[r] = Outage{Replica: r, Cause: cause, At: now, Until: now.Add(hold)}
+	return fresh
+}
+
+// Clear removes the outage of a replica that answered; it reports whether there was one.
+func (b *Board) Clear(r Incarnation, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o, ok := b.outages[r]
+	delete(b.outages, r)
+	return ok && o.Until.After(now)
+}
+
+// Avoided reports whether a replica is avoided.
+func (b *Board) Avoided(r Incarnation, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.outages[r].Until.After(now)
+}
+
+// Outages returns the outages in force and forgets the others.
+func (b *Board) Outages(now time.Time) map[Incarnation]Outage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := make(map[Incarnation]Outage, len(b.outages))
+	for r, o := range b.outages {
+		if !o.Until.After(now) {
+			delete(b.outages, r)
+			continue
+		}
+		current[r] = o
+	}
+	return current
+}
+
+// Begin notes a request with a number of tokens on replicas; the returned function ends it.
+func (b *Board) Begin(tokens float64, ids ...string) func() {
+	b.add(1, tokens, ids)
+	var once sync.Once
+	return func() { once.Do(func() { b.add(-1, -tokens, ids) }) }
+}
+
+func (b *Board) add(requests int, tokens float64, ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		l := b.loads[id]
+		if l == nil {
+			l = &load{}
+			b.loads[id] = l
+		}
+		l.requests += requests
+		l.tokens += tokens
+		if l.requests <= 0 && l.reportedAt.IsZero() {
+			delete(b.loads, id)
+		}
+	}
+}
+
+// Report notes the load that a replica told with an answer: requests that run or wait, and its slots.
+func (b *Board) Report(id string, busy, slots int, now time.Time) {
+	if slots <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	if l == nil {
+		l = &load{}
+		b.loads[id] = l
+	}
+	l.reported, l.reportedAt = float64(busy)/float64(slots), now
+}
+
+// InFlight returns the requests and tokens that this daemon has on a replica.
+func (b *Board) InFlight(id string) (requests int, tokens float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l := b.loads[id]; l != nil {
+		return l.requests, l.tokens
+	}
+	return 0, 0
+}
+
+// reportMaxAge is the age past which a reported load says nothing about the present one.
+const reportMaxAge = 500 * time.Millisecond
+
+// Busy returns the share of a replica's slots in use: the reported one while it is fresh, and the own requests at least.
+func (b *Board) Busy(id string, slots int, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	if l == nil {
+		return 0
+	}
+	own := float64(l.requests) / float64(max(slots, 1))
+	if now.Sub(l.reportedAt) > reportMaxAge {
+		return own
+	}
+	return max(own, l.reported)
+}
+
+// Forget drops the loads of replicas that left the fleet.
+func (b *Board) Forget(fleet *Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.loads {
+		if l.requests <= 0 && fleet.ByID(id) == nil {
+			delete(b.loads, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mangoreplica/replica.go
@@ -0,0 +1,41 @@
+package mangoreplica
+
+// Range is a range of layers; To is exclusive.
+type Range struct {
+	From, To int
+}
+
+// Len returns the number of layers.
+func (r Range) Len() int { return max(0, r.To-r.From) }
+
+// Holds reports whether the range includes all layers of another one.
+func (r Range) Holds(o Range) bool { return r.From <= o.From && o.To <= r.To }
+
+// Replica is one start of a server of a service, as it describes itself in the store.
+type Replica struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Draining replicas get no new requests.
+	Draining bool
+	// Accelerator is the kind of its accelerator; empty for plain services.
+	Accelerator string
+	// Layers are the layers that it holds; empty after a start.
+	Layers Range
+	// Born is the start of the process in Unix milliseconds; it tells starts under one id apart.
+	Born int64
+	// WarmupMS is the time for which it is still slow, as of its last entry.
+	WarmupMS int64
+}
+
+// Incarnation identifies one start of a replica.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the identity of this start of the replica.
+func (r *Replica) Incarnation() Incarnation { return Incarnation{ID: r.ID, Born: r.Born} }
--- /dev/null
+++ b/internal/mangoroute/service.go
@@ -0,0 +1,61 @@
+package mangoroute
+
+// Service is a group of replicas that serve the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections bounds the connections to one replica from all callers.
+	MaxConnections int
+	// Engine describes the model; nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the engines of a model that is split by layers.
+type Engine struct {
+	// Layers is the number of layers of the model.
+	Layers int
+	// LayerMB is the memory of one layer, in units of 10^6 bytes.
+	LayerMB float64
+	// TokenBytes is the memory of one token in all layers.
+	TokenBytes float64
+	// StepMS is the time of a decode step over all layers on the reference accelerator.
+	StepMS float64
+	// LoadSeconds is the time to load all layers.
+	LoadSeconds float64
+	// LoadsAtOnce is the number of loads that do not slow each other down.
+	LoadsAtOnce int
+	// PromptTokens and AnswerTokens are the means of a request.
+	PromptTokens float64
+	AnswerTokens float64
+	Accelerators map[string]Accelerator
+}
+
+// Accelerator is a kind of accelerator.
+type Accelerator struct {
+	// MemoryMB is its memory, in units of 10^6 bytes.
+	MemoryMB float64
+	// StepFactor is the time of a decode step relative to the reference accelerator.
+	StepFactor float64
+	// ReadFactor is the time to read a prompt relative to the reference accelerator.
+	ReadFactor float64
+}
+
+// MaxLayers returns the number of layers that leave room for tokens of requests on an accelerator.
+func (e *Engine) MaxLayers(accelerator string, tokens float64) int {
+	a, ok := e.Accelerators[accelerator]
+	if !ok || e.LayerMB <= 0 || e.Layers <= 0 {
+		return 0
+	}
+	perLayer := e.LayerMB + tokens*e.TokenBytes/float64(e.Layers)/1e6
+	return min(int(a.MemoryMB/perLayer), e.Layers)
+}
+
+// Capacity returns the tokens of requests that an accelerator has room for beside a number of layers.
+func (e *Engine) Capacity(accelerator string, layers int) float64 {
+	a, ok := e.Accelerators[accelerator]
+	if !ok || layers <= 0 || e.TokenBytes <= 0 {
+		return 0
+	}
+	free := (a.MemoryMB - float64(layers)*e.LayerMB) * 1e6
+	return max(0, free/(e.TokenBytes/float64(e.Layers)*float64(layers)))
+}
--- a/internal/mangosetting/load.go
+++ b/internal/mangosetting/load.go
@@ -35,6 +35,30 @@
 	return settings, nil
 }
 
+// LoadRelay reads and checks the settings file of a daemon that serves the platform's requests. The error is an *Error
+// with all faults.
+func LoadRelay(path string) (*mangomessage.RelaySettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "LoadRelay", Kind: KindRead, Err: errors.WithStack(err)}
+	}
+	return ParseRelay(path, data)
+}
+
+// ParseRelay checks settings as LoadRelay does; name stands for the file in faults.
+func ParseRelay(name string, data []byte) (*mangomessage.RelaySettings, error) {
+	c := &checker{file: name}
+	settings := &mangomessage.RelaySettings{}
+	if found, ok := c.scan(data); ok {
+		c.fill(settings.ProtoReflect(), found)
+		c.checkUnique(settings.ProtoReflect())
+	}
+	if len(c.faults) > 0 {
+		return nil, &Error{Op: "ParseRelay", Kind: KindInvalid, Faults: c.faults}
+	}
+	return settings, nil
+}
+
 // checker collects the faults of one file.
 type checker struct {
 	file   string
--- a/internal/mangosetting/value.go
+++ b/internal/mangosetting/value.go
@@ -38,6 +38,8 @@
 		return number(rule, text, parseSize)
 	case mangomessage.Format_Number:
 		return number(rule, text, parseNumber)
+	case mangomessage.Format_Ratio:
+		return ratio(rule, text)
 	case mangomessage.Format_Flag:
 		return protoreflect.ValueOfBool(text == "true"), problemIf(text != "true" && text != "false", "not a flag")
 	case mangomessage.Format_Address, mangomessage.Format_Addresses:
@@ -70,6 +72,16 @@
 	return protoreflect.ValueOfInt64(n), problem
 }
 
+func ratio(rule *mangomessage.Rule, text string) (protoreflect.Value, string) {
+	n, err := strconv.ParseFloat(text, 64)
+	problem := problemIf(err != nil, "not a number")
+	// The comparison is negated, so that NaN is out of range.
+	if problem == "" && !(n >= float64(rule.GetMin()) && n <= float64(rule.GetMax())) {
+		problem = "out of range"
+	}
+	return protoreflect.ValueOfFloat64(n), problem
+}
+
 func parseDuration(text string) (int64, string) {
 	d, err := time.ParseDuration(text)
 	if err != nil {
@@ -144,6 +156,8 @@
 		return fmt.Sprintf("a size from %s to %s in B, KiB, MiB or GiB", formatSize(rule.GetMin()), formatSize(rule.GetMax()))
 	case mangomessage.Format_Number:
 		return fmt.Sprintf("a whole number from %d to %d", rule.GetMin(), rule.GetMax())
+	case mangomessage.Format_Ratio:
+		return fmt.Sprintf("a number from %d to %d", rule.GetMin(), rule.GetMax())
 	case mangomessage.Format_Flag:
 		return "true or false"
 	case mangomessage.Format_Address:
--- /dev/null
+++ b/internal/mangostate/controller.go
@@ -0,0 +1,220 @@
+package mangostate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+)
+
+const (
+	// defaultWait is the time that the store may hold a watch. The watch is also the check that the connection still
+	// works, beside the probes of the transport.
+	defaultWait = 10 * time.Second
+	// defaultBatch is the pause after an answer, so that a burst of changes comes as one.
+	defaultBatch = 20 * time.Millisecond
+	// defaultReturn is the time after the store's return within which entries that lapsed come back.
+	defaultReturn = 2200 * time.Millisecond
+	minPause      = 100 * time.Millisecond
+	maxPause      = 800 * time.Millisecond
+)
+
+// Controller follows the store. Run owns the state; the other methods are safe for concurrent use.
+type Controller struct {
+	feed    Feed
+	board   *mangoreplica.Board
+	logger  logrus.FieldLogger
+	now     func() time.Time
+	wait    time.Duration
+	batch   time.Duration
+	grace   time.Duration
+	view    atomic.Pointer[View]
+	signals []chan struct{}
+	outside chan bool
+
+	state state
+}
+
+// Option sets a property of a Controller.
+type Option func(*Controller)
+
+// WithLogger sets the logger of changes of belief.
+func WithLogger(l logrus.FieldLogger) Option { return func(c *Controller) { c.logger = l } }
+
+// WithWait sets the time that the store may hold a watch.
+func WithWait(d time.Duration) Option { return func(c *Controller) { c.wait = d } }
+
+// WithReturnTime sets the time after the store's return within which lapsed entries come back.
+func WithReturnTime(d time.Duration) Option { return func(c *Controller) { c.grace = d } }
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option { return func(c *Controller) { c.now = now } }
+
+// New returns a controller that knows nothing yet.
+func New(feed Feed, board *mangoreplica.Board, opts ...Option) *Controller {
+	c := &Controller{
+		feed: feed, board: board, logger: logrus.StandardLogger(), now: time.Now,
+		wait: defaultWait, batch: defaultBatch, grace: defaultReturn, outside: make(chan bool, 1),
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.state = newState(c.logger, c.grace)
+	c.view.Store(&View{Fleet: mangoreplica.NewFleet(nil)})
+	return c
+}
+
+// View returns what is known now.
+func (c *Controller) View() *View { return c.view.Load() }
+
+// Holder returns the value of a key of the daemons' own.
+func (c *Controller) Holder(key string) (string, bool) { return c.View().Holder(key) }
+
+// Subscribe returns a channel that is signalled after changes of the view. It must be called before Run.
+func (c *Controller) Subscribe() <-chan struct{} {
+	ch := make(chan struct{}, 1)
+	c.signals = append(c.signals, ch)
+	return ch
+}
+
+// StoreAnswered tells whether a call of another part of this daemon reached the store. It never blocks.
+func (c *Controller) StoreAnswered(ok bool) {
+	select {
+	case c.outside <- ok:
+	default:
+	}
+}
+
+// answer is the result of one call to the feed.
+type answer struct {
+	changes  []Change
+	revision uint64
+	snapshot bool
+	err      error
+}
+
+// Run follows the store until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	answers := make(chan answer)
+	ended := make(chan struct{})
+	inner, cancel := context.WithCancel(ctx)
+	go func() {
+		defer close(ended)
+		c.read(inner, answers)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	// Lapsed entries are dropped and the view's reachability is kept up by the clock, too.
+	tick := time.NewTicker(c.grace / 8)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case a := <-answers:
+			c.apply(a)
+		case ok := <-c.outside:
+			if c.state.answered(ok, c.now()) {
+				c.publish()
+			}
+		case <-tick.C:
+			if c.state.sweep(c.now()) {
+				c.publish()
+			}
+		}
+	}
+}
+
+func (c *Controller) apply(a answer) {
+	now := c.now()
+	if a.err != nil {
+		changed := false
+		if !isHistory(a.err) {
+			changed = c.state.answered(false, now)
+		}
+		c.logger.WithFields(logrus.Fields{
+			"event": "store_read_failed", "revision": c.state.revision, "age_ms": now.Sub(c.state.at).Milliseconds(),
+		}).WithError(a.err).Warn("changes could not be read")
+		if changed {
+			c.publish()
+		}
+		return
+	}
+	changed := c.state.answered(true, now)
+	changed = c.state.fold(a, now) || changed
+	c.state.revision, c.state.at = a.revision, now
+	if changed || !c.state.listed {
+		c.state.listed = true
+		c.publish()
+	}
+}
+
+// read calls the feed until the context ends: a snapshot first and after each error, then watches. The snapshot after
+// an error is needed because changes made before a restore of the store are in no history.
+func (c *Controller) read(ctx context.Context, answers chan<- answer) {
+	pause, fresh, revision := minPause, true, uint64(0)
+	for ctx.Err() == nil {
+		a := answer{snapshot: fresh}
+		if fresh {
+			a.changes, a.revision, a.err = c.feed.Snapshot(ctx)
+		} else {
+			a.changes, a.revision, a.err = c.feed.Watch(ctx, revision, c.wait)
+		}
+		wait := c.batch
+		switch {
+		case a.err == nil:
+			fresh, revision, pause = false, max(revision, a.revision), minPause
+			if len(a.changes) == 0 {
+				wait = 0
+			}
+		case isHistory(a.err):
+			fresh, wait = true, 0
+		default:
+			// A watch that failed goes on where it stopped; only lost history needs a snapshot.
+			wait, pause = pause/2+rand.N(pause), min(2*pause, maxPause)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case answers <- a:
+		}
+		if wait > 0 && !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func isHistory(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == KindHistory
+}
+
+func (c *Controller) publish() {
+	v := c.state.view()
+	c.view.Store(v)
+	c.board.Forget(v.Fleet)
+	for _, s := range c.signals {
+		select {
+		case s <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/mangostate/state.go
@@ -0,0 +1,220 @@
+package mangostate
+
+import (
+	"maps"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+)
+
+// state is owned by the control goroutine.
+type state struct {
+	logger   logrus.FieldLogger
+	grace    time.Duration
+	table    *mangoroute.Table
+	replicas map[string]*mangoreplica.Replica
+	// missing has the replicas whose entries went away while the store was unwell.
+	missing map[string]bool
+	keys    map[string]string
+	listed  bool
+	// reachable is false from a failed call to the next answer; returned is the time of that answer.
+	reachable bool
+	returned  time.Time
+	at        time.Time
+	revision  uint64
+	fleet     *mangoreplica.Fleet
+}
+
+func newState(logger logrus.FieldLogger, grace time.Duration) state {
+	return state{
+		logger: logger, grace: grace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{},
+		keys: map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
+	}
+}
+
+// answered notes whether a call reached the store; it reports whether that is news.
+func (s *state) answered(ok bool, now time.Time) bool {
+	if ok == s.reachable {
+		return false
+	}
+	s.reachable = ok
+	if ok {
+		s.returned = now
+		s.logger.WithFields(logrus.Fields{"event": "store_back", "revision": s.revision, "age_ms": now.Sub(s.at).Milliseconds()}).
+			Info("the store answers again")
+		return true
+	}
+	s.logger.WithFields(logrus.Fields{"event": "store_lost", "revision": s.revision, "age_ms": now.Sub(s.at).Milliseconds()}).
+		Warn("the store does not answer")
+	return true
+}
+
+// doubtful reports whether the absence of an entry proves nothing, because the store was unwell a moment ago.
+func (s *state) doubtful(now time.Time) bool {
+	return !s.reachable || (!s.returned.IsZero() && now.Sub(s.returned) < s.grace)
+}
+
+// fold applies an answer; it reports whether anything changed.
+func (s *state) fold(a answer, now time.Time) bool {
+	changed := false
+	if a.snapshot {
+		changed = s.dropAbsent(a.changes, now)
+	}
+	replicas := false
+	for _, c := range a.changes {
+		switch {
+		case c.Invalid != nil:
+			s.logger.WithFields(logrus.Fields{"event": "item_invalid", "key": c.Key, "revision": a.revision}).
+				WithError(c.Invalid).Warn("an item of the store cannot be read")
+		case c.Table != nil:
+			changed = s.takeTable(c.Table, now) || changed
+		case c.Replica != nil:
+			replicas = s.takeReplica(c.Replica) || replicas
+		case c.ReplicaGone != "":
+			replicas = s.loseReplica(c.ReplicaGone, now) || replicas
+		default:
+			changed = s.takeKey(c.Key, c.Value) || changed
+		}
+	}
+	return s.rebuild(replicas) || changed
+}
+
+func (s *state) rebuild(changed bool) bool {
+	if !changed {
+		return false
+	}
+	list := make([]*mangoreplica.Replica, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		list = append(list, r)
+	}
+	s.fleet = mangoreplica.NewFleet(list)
+	return true
+}
+
+// dropAbsent removes what a snapshot no longer has.
+func (s *state) dropAbsent(changes []Change, now time.Time) bool {
+	present := map[string]bool{}
+	keys := map[string]bool{}
+	for _, c := range changes {
+		switch {
+		case c.Replica != nil:
+			present[c.Replica.ID] = true
+		case c.Key != "":
+			keys[c.Key] = true
+		}
+	}
+	replicas, changed := false, false
+	for id := range s.replicas {
+		if !present[id] {
+			replicas = s.loseReplica(id, now) || replicas
+		}
+	}
+	for k := range s.keys {
+		if !keys[k] {
+			changed = s.takeKey(k, "") || changed
+		}
+	}
+	return s.rebuild(replicas) || changed
+}
+
+func (s *state) takeTable(t *mangoroute.Table, now time.Time) bool {
+	if s.table != nil && t.Version() <= s.table.Version() {
+		return false
+	}
+	old := uint64(0)
+	if s.table != nil {
+		old = s.table.Version()
+	}
+	s.table = t
+	s.logger.WithFields(logrus.Fields{
+		"event": "configuration_taken", "version": t.Version(), "previous": old, "age_ms": now.Sub(s.at).Milliseconds(),
+	}).Info("a configuration is in force")
+	return true
+}
+
+func (s *state) takeReplica(r *mangoreplica.Replica) bool {
+	old := s.replicas[r.ID]
+	delete(s.missing, r.ID)
+	// A replica that has begun to leave does not stop leaving; only a new start under the id serves again.
+	if old != nil && old.Draining && old.Born == r.Born {
+		r.Draining = true
+	}
+	s.replicas[r.ID] = r
+	if old != nil && *old == *r {
+		return false
+	}
+	event := "replica_changed"
+	switch {
+	case old == nil:
+		event = "replica_seen"
+	case old.Born != r.Born:
+		event = "replica_restarted"
+	case r.Draining && !old.Draining:
+		event = "replica_draining"
+	}
+	s.logReplica(event, r).Info("the entry of a replica changed")
+	return true
+}
+
+func (s *state) logReplica(event string, r *mangoreplica.Replica) *logrus.Entry {
+	return s.logger.WithFields(logrus.Fields{
+		"event": event, "replica": r.ID, "service": r.Service, "address": r.Address, "data_centre": r.DataCentre,
+		"layers_from": r.Layers.From, "layers_to": r.Layers.To, "draining": r.Draining, "born": r.Born, "revision": s.revision,
+	})
+}
+
+func (s *state) loseReplica(id string, now time.Time) bool {
+	r := s.replicas[id]
+	if r == nil {
+		return false
+	}
+	if s.doubtful(now) {
+		if !s.missing[id] {
+			s.missing[id] = true
+			s.logReplica("replica_missing", r).Info("an entry went away while the store was unwell; it is kept for now")
+		}
+		return false
+	}
+	delete(s.replicas, id)
+	delete(s.missing, id)
+	s.logReplica("replica_gone", r).Info("the entry of a replica is gone")
+	return true
+}
+
+// sweep drops the entries that are still missing some time after the store's return.
+func (s *state) sweep(now time.Time) bool {
+	if len(s.missing) == 0 || s.doubtful(now) {
+		return false
+	}
+	changed := false
+	for id := range s.missing {
+		changed = s.loseReplica(id, now) || changed
+	}
+	return s.rebuild(changed)
+}
+
+func (s *state) takeKey(key, value string) bool {
+	if s.keys[key] == value {
+		return false
+	}
+	// Views share the map, so it is replaced.
+	s.keys = maps.Clone(s.keys)
+	if value == "" {
+		delete(s.keys, key)
+	} else {
+		s.keys[key] = value
+	}
+	s.logger.WithFields(logrus.Fields{"event": "key_changed", "key": key, "value": value, "revision": s.revision}).
+		Info("a key of the daemons changed")
+	return true
+}
+
+func (s *state) view() *View {
+	return &View{
+		Table: s.table, Fleet: s.fleet, Members: membersOf(s.keys), Listed: s.listed, Revision: s.revision,
+		At: s.at, Reachable: s.reachable, keys: s.keys,
+	}
+}
