Keep streams in their data centre and read bursts of changes as one

Cause: the chains of the data centre with the fastest accelerator were cheaper than the remote cost of 5 ms, so other data centres sent streams there; each change at the start was a call to the store of its own. Change: remote cost 30 ms, pause of 120 ms after an answer of a watch.

--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -13,7 +13,7 @@
 	// hopCost is the time to pass activations on to the next part.
 	hopCost = 200 * time.Microsecond
 	// remoteCost keeps requests in their own data centre unless its replicas are much busier.
-	remoteCost = 5 * time.Millisecond
+	remoteCost = 30 * time.Millisecond
 	// jitter spreads requests of daemons that decide on the same state, as a share of the cost.
 	jitter = 0.15
 	// avoidedFactor makes a replica that is avoided the last resort.
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -17,7 +17,7 @@
 	// works, beside the probes of the transport.
 	defaultWait = 10 * time.Second
 	// defaultBatch is the pause after an answer, so that a burst of changes comes as one.
-	defaultBatch = 20 * time.Millisecond
+	defaultBatch = 120 * time.Millisecond
 	// defaultReturn is the time after the store's return within which entries that lapsed come back.
 	defaultReturn = 2200 * time.Millisecond
 	minPause      = 100 * time.Millisecond
