Find a deaf watch within a second and end a stop sooner

Change: a daemon that has heard no revision of the store for about a second asks for it and tells the others; a watch that is behind such a revision for 300 ms is given up. A stopping daemon refuses streams that begin later than 2.3 s and ends once it has nothing in hand.

--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -27,7 +27,8 @@
 
 const (
 	// rotationTime is the time for the load balancer to notice that this daemon is not ready: two checks, a second apart.
-	rotationTime = 3 * time.Second
+	// Callers that come later can be sent here only because other daemons of the data centre are away, too.
+	rotationTime = 2300 * time.Millisecond
 	// stopMargin is kept of the grace period for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	stopStep   = 50 * time.Millisecond
@@ -47,6 +48,7 @@
 	suspects   *mangosuspect.Suspects
 	relay      *mangorelay.Relay
 	news       *mangonews.News
+	poller     *mangostate.Poller
 	peers      *mangopeer.Client
 	placement  placementTenure
 	membership membership
@@ -60,12 +62,12 @@
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, lines *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, board *mangoreplica.Board, budget *mangobudget.Budget, suspects *mangosuspect.Suspects,
-	relay *mangorelay.Relay, news *mangonews.News, peers *mangopeer.Client, placement placementTenure, membership membership,
+	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, peers *mangopeer.Client, placement placementTenure, membership membership,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.Relay, registry *prometheus.Registry, phase *phase,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, lines: lines, self: self, controller: controller, board: board, budget: budget,
-		suspects: suspects, relay: relay, news: news, peers: peers, placement: placement, membership: membership, placer: placer,
+		suspects: suspects, relay: relay, news: news, poller: poller, peers: peers, placement: placement, membership: membership, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, phase: phase,
 	}
 }
@@ -113,6 +115,7 @@
 	}
 	run("state", func() error { return d.controller.Run(inner) })
 	run("news", func() error { return d.news.Run(inner) })
+	run("poller", func() error { return d.poller.Run(duties) })
 	run("membership", func() error { return d.membership.Run(duties) })
 	run("placement", func() error { return d.placement.Run(duties) })
 	run("placer", func() error { return d.placer.Run(duties) })
@@ -129,7 +132,7 @@
 	for failed == nil {
 		select {
 		case <-stopping:
-			d.phase.stop.Store(true)
+			d.phase.begin(time.Now().Add(rotationTime))
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.phase.active.Load()}).Info("the daemon stops")
 			resign()
 			d.drain()
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -78,6 +78,13 @@
 	return mangonews.New(self, client, state, board, suspects, mangonews.WithLogger(logger))
 }
 
+// poller is made after News, whose messages it sends and receives.
+func providePoller(state *mangostate.Controller, store *platform.Store, news *mangonews.News) *mangostate.Poller {
+	p := mangostate.NewPoller(state, store, news.Revision)
+	news.Receive(p.Heard)
+	return p
+}
+
 func provideEngines(dialer *mangoconn.Dialer) *platform.Engines { return platform.NewEngines(dialer) }
 
 func provideRelay(
@@ -88,7 +95,7 @@
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, board, budget, suspects,
 		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithHerald(news),
-		mangorelay.WithObserver(metrics), mangorelay.WithClosing(phase.stopping),
+		mangorelay.WithObserver(metrics), mangorelay.WithClosing(phase.stopping), mangorelay.WithClosed(phase.closed),
 	)
 }
 
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -38,12 +38,13 @@
 	news := provideNews(member, client, controller, board, suspects, logger)
 	mangoentryPhase := newPhase()
 	mangorelayRelay := provideRelay(settings, controller, dialer, board, budget, suspects, engines, news, relay, mangoentryPhase, logger)
+	poller := providePoller(controller, store, news)
 	mangoentryBoot := provideBoot()
 	mangoentryPlacementTenure := provideTenure(member, mangoentryBoot, store, controller, logger)
 	mangoentryMembership := provideMembership(member, mangoentryBoot, store, controller, logger)
 	placer := providePlacer(controller, mangoentryPlacementTenure, engines, board, relay, logger)
 	mangoentryIngress := newIngress(mangorelayRelay, controller, mangoentryPhase, logger)
-	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, client, mangoentryPlacementTenure, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
+	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, client, mangoentryPlacementTenure, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
 	return daemon, nil
 }
 
@@ -52,6 +53,6 @@
 // providers has a constructor for each part of a daemon.
 var providers = wire.NewSet(
 	provideBoot, provideSelf, provideStore, provideController, provideBudget, provideSuspects, providePeers, provideNews,
-	provideEngines, provideRelay, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
+	providePoller, provideEngines, provideRelay, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
 	newDaemon, mangoreplica.NewBoard, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -47,9 +47,12 @@
 	suspects *mangosuspect.Suspects
 	logger   logrus.FieldLogger
 	wake     chan struct{}
+	heard    func(revision uint64)
 
 	mu      sync.Mutex
 	waiting []mangoreplica.Outage
+	// revision is one of the store's that the others are to be told; 0 if there is none.
+	revision uint64
 	// told is the position in the log of suspects up to which each daemon was told.
 	told map[string]uint64
 	// unreached has the daemons that did not answer last time.
@@ -64,13 +67,17 @@
 // WithLogger sets the logger.
 func WithLogger(l logrus.FieldLogger) Option { return func(n *News) { n.logger = l } }
 
+// Receive sets the receiver of revisions of the store that other daemons have seen. It must be called before Run, and the
+// receiver must not block.
+func (n *News) Receive(heard func(revision uint64)) { n.heard = heard }
+
 // New returns News of a daemon.
 func New(
 	self mangostate.Member, client Exchanger, state State, board *mangoreplica.Board, suspects *mangosuspect.Suspects, opts ...Option,
 ) *News {
 	n := &News{
 		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
-		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{},
+		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{}, heard: func(uint64) {},
 	}
 	for _, o := range opts {
 		o(n)
@@ -88,6 +95,14 @@
 	n.Crashed()
 }
 
+// Revision queues a revision of the store for the other daemons. It never blocks.
+func (n *News) Revision(revision uint64) {
+	n.mu.Lock()
+	n.revision = max(n.revision, revision)
+	n.mu.Unlock()
+	n.Crashed()
+}
+
 // Crashed says that there is something new about requests that crash replicas. It never blocks.
 func (n *News) Crashed() {
 	select {
@@ -126,8 +141,8 @@
 // send tells all other daemons what is new.
 func (n *News) send(ctx context.Context) {
 	n.mu.Lock()
-	outages := n.waiting
-	n.waiting = nil
+	outages, revision := n.waiting, n.revision
+	n.waiting, n.revision = nil, 0
 	n.mu.Unlock()
 	now := time.Now()
 	var messages []*mangomessage.Outage
@@ -141,19 +156,19 @@
 		if m.Name == n.self.Name {
 			continue
 		}
-		group.Go(func() { n.tell(ctx, m, messages, now) })
+		group.Go(func() { n.tell(ctx, m, messages, revision, now) })
 	}
 	group.Wait()
 }
 
 func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
 
-func (n *News) tell(ctx context.Context, m mangostate.Member, outages []*mangomessage.Outage, now time.Time) {
+func (n *News) tell(ctx context.Context, m mangostate.Member, outages []*mangomessage.Outage, revision uint64, now time.Time) {
 	n.mu.Lock()
 	after := n.told[m.Name]
 	n.mu.Unlock()
 	suspicions, next := n.suspects.News(after, now)
-	if len(outages) == 0 && len(suspicions) == 0 {
+	if len(outages) == 0 && len(suspicions) == 0 && revision == 0 {
 		n.reached(m.Name, next, true)
 		return
 	}
@@ -161,6 +176,7 @@
 	defer cancel()
 	_, err := n.client.Exchange(ctx, m.Address, &mangomessage.ExchangeRequest{
 		From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}, Outages: outages, Suspicions: suspicions,
+		Revision: revision,
 	})
 	if err != nil {
 		n.logger.WithFields(logrus.Fields{"event": "peer_unreached", "peer": m.Name, "address": m.Address}).WithError(err).
@@ -186,6 +202,9 @@
 // Exchange implements mangopeer.Handler.
 func (n *News) Exchange(_ context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
 	now := time.Now()
+	if request.GetRevision() > 0 {
+		n.heard(request.GetRevision())
+	}
 	n.suspects.Merge(request.GetSuspicions(), now)
 	fleet := n.state.View().Fleet
 	for _, o := range request.GetOutages() {
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -33,6 +33,8 @@
 	retryEmpty = 2 * time.Second
 	// retryFull is for upstreams that are full.
 	retryFull = 500 * time.Millisecond
+	// retryStopping is for a daemon that stops; others serve.
+	retryStopping = 100 * time.Millisecond
 	// retryCondemned is for a request that crashes upstreams.
 	retryCondemned = 5 * time.Second
 )
@@ -114,6 +116,10 @@
 			return false
 		}
 	}
+	if route.Kind == mangoroute.Stream && c.relay.closed() {
+		c.refuse("Stopping", http.StatusServiceUnavailable, retryStopping)
+		return false
+	}
 	c.serviceName = route.Service(c.relay.random())
 	c.service = table.Service(c.serviceName)
 	c.deadline = c.dueTime()
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -72,6 +72,7 @@
 	local    string
 	random   func() float64
 	closing  func() bool
+	closed   func() bool
 	aboard   *manifest
 	probes   *probes
 	pace     pace
@@ -99,6 +100,9 @@
 // WithClosing sets the function that says whether connections of callers are to end with their answers.
 func WithClosing(f func() bool) Option { return func(r *Relay) { r.closing = f } }
 
+// WithClosed sets the function that says whether no more streams are begun.
+func WithClosed(f func() bool) Option { return func(r *Relay) { r.closed = f } }
+
 // New returns a relay of a daemon in a data centre.
 func New(
 	dataCentre string, state State, codec Codec, dialer Exchanger, board *mangoreplica.Board, budget *mangobudget.Budget,
@@ -107,7 +111,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		closing: func() bool { return false }, aboard: newManifest(), probes: newProbes(),
+		closing: func() bool { return false }, closed: func() bool { return false }, aboard: newManifest(), probes: newProbes(),
 	}
 	for _, o := range opts {
 		o(r)
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// defaultWait is the time that the store may hold a watch. The watch is also the check that the connection still
-	// works, beside the probes of the transport.
+	// defaultWait is the time that the store may hold a watch.
 	defaultWait = 10 * time.Second
+	// deafAfter is the time for changes to arrive by the watch after another call has shown that there are some. A watch
+	// that is later than that is given up: it may wait on a connection that is dead, or at a store that dropped it.
+	deafAfter = 300 * time.Millisecond
 	// defaultBatch is the pause after an answer, so that a burst of changes comes as one.
 	defaultBatch = 120 * time.Millisecond
 	// defaultReturn is the time after the store's return within which entries that lapsed come back.
@@ -36,6 +38,8 @@
 	view    atomic.Pointer[View]
 	signals []chan struct{}
 	outside chan bool
+	shown   chan uint64
+	restart chan struct{}
 
 	state state
 }
@@ -60,6 +64,7 @@
 	c := &Controller{
 		feed: feed, board: board, logger: logrus.StandardLogger(), now: time.Now,
 		wait: defaultWait, batch: defaultBatch, grace: defaultReturn, outside: make(chan bool, 1),
+		shown: make(chan uint64, 1), restart: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -90,6 +95,14 @@
 	}
 }
 
+// Shown tells that the store was seen at a revision, by a call of this daemon or of another one. It never blocks.
+func (c *Controller) Shown(revision uint64) {
+	select {
+	case c.shown <- revision:
+	default:
+	}
+}
+
 // answer is the result of one call to the feed.
 type answer struct {
 	changes  []Change
@@ -114,6 +127,9 @@
 	// Lapsed entries are dropped and the view's reachability is kept up by the clock, too.
 	tick := time.NewTicker(c.grace / 8)
 	defer tick.Stop()
+	deaf := time.NewTimer(time.Hour)
+	defer deaf.Stop()
+	awaited := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -128,10 +144,31 @@
 			if c.state.sweep(c.now()) {
 				c.publish()
 			}
+		case revision := <-c.shown:
+			if revision > c.state.revision && awaited <= c.state.revision {
+				awaited = revision
+				deaf.Reset(deafAfter)
+			}
+		case <-deaf.C:
+			if awaited > c.state.revision {
+				c.reread(awaited)
+				deaf.Reset(deafAfter)
+			}
 		}
 	}
 }
 
+// reread gives up the watch, whose connection or whose place at the store is lost.
+func (c *Controller) reread(awaited uint64) {
+	c.logger.WithFields(logrus.Fields{
+		"event": "watch_deaf", "revision": c.state.revision, "shown": awaited, "age_ms": c.now().Sub(c.state.at).Milliseconds(),
+	}).Warn("changes that the store has did not arrive; the watch is started again")
+	select {
+	case c.restart <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Controller) apply(a answer) {
 	now := c.now()
 	if a.err != nil {
@@ -162,13 +199,16 @@
 	pause, fresh, revision := minPause, true, uint64(0)
 	for ctx.Err() == nil {
 		a := answer{snapshot: fresh}
+		restarted := false
 		if fresh {
 			a.changes, a.revision, a.err = c.feed.Snapshot(ctx)
 		} else {
-			a.changes, a.revision, a.err = c.feed.Watch(ctx, revision, c.wait)
+			a, restarted = c.watch(ctx, revision)
 		}
 		wait := c.batch
 		switch {
+		case restarted:
+			continue
 		case a.err == nil:
 			fresh, revision, pause = false, max(revision, a.revision), minPause
 			if len(a.changes) == 0 {
@@ -191,6 +231,31 @@
 	}
 }
 
+// watch waits for changes; restarted says that it was given up.
+func (c *Controller) watch(ctx context.Context, revision uint64) (a answer, restarted bool) {
+	select {
+	case <-c.restart:
+	default:
+	}
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	stopped := make(chan bool, 1)
+	go func() {
+		select {
+		case <-c.restart:
+			cancel()
+			stopped <- true
+		case <-done:
+			stopped <- false
+		}
+	}()
+	a.changes, a.revision, a.err = c.feed.Watch(watching, revision, c.wait)
+	close(done)
+	// An answer that came just before the end counts.
+	return a, <-stopped && a.err != nil
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/mangostate/poller.go
@@ -0,0 +1,75 @@
+package mangostate
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// Revisioner returns the revision of the store by one cheap call that cannot be answered from an old state.
+type Revisioner interface {
+	Revision(ctx context.Context) (uint64, error)
+}
+
+const (
+	// pollAfter is the time without a sign of the store's revision after which a daemon asks for it, and pollSpread the
+	// random part of it. The first daemon to ask tells the others, so that they need not.
+	pollAfter  = 900 * time.Millisecond
+	pollSpread = 500 * time.Millisecond
+	// pollTimeout bounds the question.
+	pollTimeout = 600 * time.Millisecond
+)
+
+// Poller makes sure that a watch that has gone deaf is noticed.
+type Poller struct {
+	controller *Controller
+	store      Revisioner
+	tell       func(revision uint64)
+	confirmed  chan struct{}
+	last       atomic.Uint64
+}
+
+// NewPoller returns a poller; tell passes the revision on to other daemons and must not block.
+func NewPoller(controller *Controller, store Revisioner, tell func(revision uint64)) *Poller {
+	return &Poller{controller: controller, store: store, tell: tell, confirmed: make(chan struct{}, 1)}
+}
+
+// Heard takes a revision that another daemon has seen a moment ago. It never blocks.
+func (p *Poller) Heard(revision uint64) {
+	p.last.Store(max(p.last.Load(), revision))
+	p.controller.Shown(revision)
+	select {
+	case p.confirmed <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks for the revision when none has been heard for a while, until the context ends.
+func (p *Poller) Run(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(pollAfter + rand.N(pollSpread))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-p.confirmed:
+			timer.Stop()
+			continue
+		case <-timer.C:
+		}
+		p.ask(ctx)
+	}
+}
+
+func (p *Poller) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	revision, err := p.store.Revision(ctx)
+	p.controller.StoreAnswered(err == nil)
+	if err != nil {
+		return
+	}
+	p.controller.Shown(revision)
+	p.tell(revision)
+}
