Fill gaps from neighbours and size ranges by the memory of the data centre

The layout was made before the last replica had announced itself, which cost a third of the room. Change: the room of each replica follows the memory of its data centre, up to 150,000 tokens; neighbours extend over a gap, a rebuild keeps the order of replicas, extensions are trimmed when a copy is there. The replica that a refusal names is checked with a connection at once.

--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -88,8 +88,8 @@
 	interval = 200 * time.Millisecond
 	// settleQuiet is the time without new replicas after which a fleet that holds no layers is planned, and settleMax the
 	// longest wait for it. Replicas announce themselves over the first second or two.
-	settleQuiet = 600 * time.Millisecond
-	settleMax   = 2500 * time.Millisecond
+	settleQuiet = time.Second
+	settleMax   = 4 * time.Second
 	// orderTimeout bounds one order.
 	orderTimeout = 800 * time.Millisecond
 	// entryLag is the time for a change of layers to arrive in the entry of a replica.
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -25,10 +25,16 @@
 	Reason string
 }
 
-// rooms are the tokens of requests that a replica is to have room for, in the order in which they are tried. The
-// first is the usual one: it holds about 90 requests of the usual size, and a data centre has about 55 at a time. The
-// later ones let fewer replicas hold the whole model.
-func rooms() []float64 { return []float64{88000, 60000, 40000, 25000, 12000} }
+const (
+	// usualRoom is the number of tokens of requests that a replica has room for if the data centre has memory enough. At
+	// 950 tokens a request it holds the requests of three data centres at a usual hour.
+	usualRoom = 150000.0
+	// leastRoom is the room below which a replica is no use in a chain, and roomStep the step between tries.
+	leastRoom = 12000.0
+	roomStep  = 4000.0
+	// extendedRoom is the room that a replica keeps when it takes over layers of a lost neighbour.
+	extendedRoom = 50000.0
+)
 
 // Plan returns the moves that bring the layers of each data centre closer to complete and then double cover. Data
 // centres are planned on their own, since chains do not cross them.
@@ -55,34 +61,54 @@
 type planner struct {
 	engine *mangoroute.Engine
 	states []Holding
-	cover  []int
-	moves  []Move
+	// room is the number of tokens that each replica is to have room for.
+	room  float64
+	cover []int
+	moves []Move
 }
 
 func (p *planner) plan() []Move {
+	p.chooseRoom()
 	p.sort()
 	held := slices.ContainsFunc(p.states, func(s Holding) bool { return s.Layers.Len() > 0 })
 	if !held {
-		p.layOut()
+		p.layOut("Layout")
 		return p.moves
 	}
 	p.count()
 	p.fillGaps()
-	if len(p.gaps()) > 0 && p.rebuildable() {
-		p.moves = nil
-		p.layOut()
+	if len(p.gaps()) > 0 {
+		p.rebuild()
 		return p.moves
 	}
 	p.useEmpty()
+	p.trim()
 	return p.moves
 }
 
+// chooseRoom takes the largest room with which the replicas hold the whole model.
+func (p *planner) chooseRoom() {
+	for p.room = usualRoom; p.room > leastRoom; p.room -= roomStep {
+		if p.total() >= p.engine.Layers {
+			return
+		}
+	}
+}
+
+func (p *planner) total() int {
+	total := 0
+	for _, s := range p.states {
+		total += p.size(s, p.room)
+	}
+	return total
+}
+
 // sort brings the replicas that hold most layers to the front: they take the first layers, and the second cover, which
 // also begins at the first layer, then stands in for those that take longest to replace.
 func (p *planner) sort() {
 	slices.SortStableFunc(p.states, func(a, b Holding) int {
 		return cmp.Or(
-			cmp.Compare(p.size(b, rooms()[0]), p.size(a, rooms()[0])), cmp.Compare(a.Replica.ID, b.Replica.ID),
+			cmp.Compare(p.size(b, usualRoom), p.size(a, usualRoom)), cmp.Compare(a.Replica.ID, b.Replica.ID),
 		)
 	})
 }
@@ -91,29 +117,44 @@
 	return p.engine.MaxLayers(s.Replica.Accelerator, room)
 }
 
-// layOut gives all replicas their layers one after the other and begins at the first layer again after the last, with
-// the largest room that lets the replicas hold the whole model. Replicas that are changing keep what they have.
-func (p *planner) layOut() {
-	for _, room := range rooms() {
-		total := 0
-		for _, s := range p.states {
-			total += p.size(s, room)
-		}
-		if total < p.engine.Layers {
+// layOut gives all replicas their layers one after the other and begins at the first layer again after the last.
+func (p *planner) layOut(reason string) {
+	if p.total() < p.engine.Layers {
+		return
+	}
+	at := 0
+	for _, s := range p.states {
+		n := p.size(s, p.room)
+		if n <= 0 {
 			continue
 		}
-		at := 0
-		for _, s := range p.states {
-			n := p.size(s, room)
-			if n <= 0 {
-				continue
-			}
-			to := min(at+n, p.engine.Layers)
-			p.move(s, mangoreplica.Range{From: at, To: to}, "Layout")
-			at = to % p.engine.Layers
-		}
+		to := min(at+n, p.engine.Layers)
+		p.move(s, mangoreplica.Range{From: at, To: to}, reason)
+		at = to % p.engine.Layers
+	}
+}
+
+// rebuild lays the data centre out anew, which no longer serves. The replicas keep their order, so that each loads only
+// the few layers by which its range moves. It waits for orders on their way, which may close the gap.
+func (p *planner) rebuild() {
+	if slices.ContainsFunc(p.states, func(s Holding) bool { return !s.Settled }) {
 		return
 	}
+	slices.SortStableFunc(p.states, func(a, b Holding) int {
+		return cmp.Or(compareBool(a.Layers.Len() == 0, b.Layers.Len() == 0), cmp.Compare(a.Layers.From, b.Layers.From))
+	})
+	p.layOut("Rebuild")
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 func (p *planner) move(s Holding, layers mangoreplica.Range, reason string) {
@@ -152,8 +193,8 @@
 	return gaps
 }
 
-// fillGaps gives each range without a holder to empty replicas, and to those whose layers others hold too once no
-// empty one is left.
+// fillGaps gives each range without a holder to empty replicas, to its neighbours if they have room for it, and else to
+// replicas whose layers others hold too.
 func (p *planner) fillGaps() {
 	for range len(p.states) {
 		gaps := p.gaps()
@@ -161,15 +202,53 @@
 			return
 		}
 		gap := slices.MaxFunc(gaps, func(a, b mangoreplica.Range) int { return cmp.Compare(a.Len(), b.Len()) })
-		i, reason := p.pick(gap, p.empty), "Gap"
-		if i < 0 {
-			i, reason = p.pick(gap, p.redundant), "GapFromCopy"
+		if i := p.pick(gap, p.empty); i >= 0 {
+			p.take(i, p.window(gap, p.size(p.states[i], p.room)), "Gap")
+			continue
 		}
+		if p.extend(gap) {
+			continue
+		}
+		i := p.pick(gap, p.redundant)
 		if i < 0 {
 			return
 		}
-		p.take(i, p.window(gap, p.size(p.states[i], rooms()[0])), reason)
+		p.take(i, p.window(gap, p.size(p.states[i], p.room)), "GapFromCopy")
+	}
+}
+
+// extend lets the replicas on both sides of a gap take its layers beside their own, which loads the fewest layers. It
+// reports whether they have room for all of them.
+func (p *planner) extend(gap mangoreplica.Range) bool {
+	left, leftSlack := p.roomiest(func(r mangoreplica.Range) bool { return r.From < gap.From && r.To >= gap.From })
+	right, rightSlack := p.roomiest(func(r mangoreplica.Range) bool { return r.To > gap.To && r.From <= gap.To })
+	if leftSlack+rightSlack < gap.Len() {
+		return false
+	}
+	fromLeft := min(leftSlack, (gap.Len()+1)/2)
+	fromRight := min(rightSlack, gap.Len()-fromLeft)
+	fromLeft = gap.Len() - fromRight
+	if fromLeft > 0 {
+		p.take(left, mangoreplica.Range{From: p.states[left].Layers.From, To: gap.From + fromLeft}, "Extend")
+	}
+	if fromRight > 0 {
+		p.take(right, mangoreplica.Range{From: gap.To - fromRight, To: p.states[right].Layers.To}, "Extend")
+	}
+	return true
+}
+
+// roomiest returns the settled replica with the most room for further layers among those that hold a range of some kind.
+func (p *planner) roomiest(kind func(mangoreplica.Range) bool) (index, slack int) {
+	index = -1
+	for i, s := range p.states {
+		if !s.Settled || s.Layers.Len() == 0 || !kind(s.Layers) {
+			continue
+		}
+		if n := p.size(s, extendedRoom) - s.Layers.Len(); n > slack {
+			index, slack = i, n
+		}
 	}
+	return index, slack
 }
 
 // take orders a state to hold layers and counts them as held.
@@ -185,7 +264,7 @@
 func (p *planner) pick(gap mangoreplica.Range, may func(Holding) bool) int {
 	best := -1
 	for i, s := range p.states {
-		n := p.size(s, rooms()[0])
+		n := p.size(s, p.room)
 		if n <= 0 || !may(s) {
 			continue
 		}
@@ -193,7 +272,7 @@
 			best = i
 			continue
 		}
-		b := p.size(p.states[best], rooms()[0])
+		b := p.size(p.states[best], p.room)
 		if (n >= gap.Len() && (b < gap.Len() || n < b)) || (n < gap.Len() && n > b) {
 			best = i
 		}
@@ -228,40 +307,71 @@
 	return mangoreplica.Range{From: from, To: min(from+n, p.engine.Layers)}
 }
 
-// rebuildable reports whether a layout from scratch would cover the model and nothing is on its way to do so.
-func (p *planner) rebuildable() bool {
-	total := 0
-	for _, s := range p.states {
-		if !s.Settled {
-			return false
-		}
-		total += p.size(s, rooms()[len(rooms())-1])
-	}
-	return total >= p.engine.Layers
-}
-
-// useEmpty gives empty replicas the layers with the fewest holders; of these, those held by the largest replica, since
-// its loss costs most.
+// useEmpty gives empty replicas the layers that have room for the fewest requests.
 func (p *planner) useEmpty() {
-	if len(p.gaps()) > 0 {
-		return
-	}
 	for i, s := range p.states {
-		n := p.size(s, rooms()[0])
+		n := p.size(s, p.room)
 		if n <= 0 || !p.empty(s) {
 			continue
 		}
-		best, least := 0, int(^uint(0)>>1)
+		rooms := p.rooms()
+		best, most := 0, -1.0
 		for from := 0; from+n <= p.engine.Layers; from++ {
-			sum := 0
+			relief := 0.0
 			for l := from; l < from+n; l++ {
-				// A layer that already has two holders gains little from a third one.
-				sum += min(p.cover[l], 4) * min(p.cover[l], 4)
+				relief += 1 / max(rooms[l], 1)
 			}
-			if sum < least {
-				best, least = from, sum
+			if relief > most {
+				best, most = from, relief
 			}
 		}
 		p.take(i, mangoreplica.Range{From: best, To: best + n}, "Copy")
 	}
 }
+
+// rooms returns the tokens that the holders of each layer have room for.
+func (p *planner) rooms() []float64 {
+	rooms := make([]float64, p.engine.Layers)
+	for _, s := range p.states {
+		room := p.engine.Capacity(s.Replica.Accelerator, s.Layers.Len())
+		for l := max(s.Layers.From, 0); l < min(s.Layers.To, len(rooms)); l++ {
+			rooms[l] += room
+		}
+	}
+	return rooms
+}
+
+// trim takes layers that others hold too from a replica that has taken over more than its share, one at a time.
+func (p *planner) trim() {
+	for i, s := range p.states {
+		n := p.size(s, p.room)
+		if !s.Settled || n <= 0 || s.Layers.Len() <= n {
+			continue
+		}
+		r := s.Layers
+		for r.Len() > n && p.covered(r.From) {
+			r.From++
+		}
+		for r.Len() > n && p.covered(r.To-1) {
+			r.To--
+		}
+		if r != s.Layers {
+			p.take(i, r, "Trim")
+			return
+		}
+	}
+}
+
+// covered reports whether a layer has a second holder that is not changing.
+func (p *planner) covered(layer int) bool {
+	if layer < 0 || layer >= len(p.cover) || p.cover[layer] < 2 {
+		return false
+	}
+	holders := 0
+	for _, s := range p.states {
+		if s.Settled && s.Layers.From <= layer && layer < s.Layers.To {
+			holders++
+		}
+	}
+	return holders >= 2
+}
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -68,6 +68,9 @@
 	events     eventBuffer
 	status     int
 	outcome    string
+	// answered is the status of the last answer of an upstream, and fault the replica that a refusal named.
+	answered int
+	fault    string
 }
 
 // Serve answers one request. It returns false if the answer broke off, so that the caller's connection must be cut.
@@ -198,6 +201,7 @@
 			return c.conclude(reason, retryFull)
 		}
 		c.sends++
+		c.answered, c.fault = 0, ""
 		result := c.try(outer, inner, t)
 		c.logSend(t, result)
 		switch result {
@@ -308,6 +312,7 @@
 		"chain": t.String(), "data_centre": t.dataCentre, "cost_us": t.cost.Microseconds(), "pressure": t.pressure,
 		"result": result.String(), "since_ms": time.Since(c.request.Arrived).Milliseconds(), "last_event": c.events.last,
 		"budget_left": int(c.relay.budget.Left(c.serviceName, time.Now())), "revision": c.view.Revision,
+		"answered": c.answered, "fault": c.fault,
 	})
 	if result == delivered {
 		entry.Info("a request was sent")
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -50,6 +50,7 @@
 	defer response.Close()
 	c.arrivals++
 	answer := c.relay.codec.Decode(response.Response)
+	c.answered = answer.Status
 	if answer.Slots > 0 {
 		c.relay.board.Report(t.first.ID, answer.Busy, answer.Slots, time.Now())
 	}
@@ -153,6 +154,7 @@
 		fault = r
 	}
 	c.exclude[fault.ID] = true
+	c.fault = fault.ID
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
 		c.relay.avoid(fault, mangoreplica.CauseMoved, holdMoved, c.request.ID)
@@ -162,6 +164,9 @@
 		c.relay.avoid(fault, mangoreplica.CauseStalled, holdStalled, c.request.ID)
 	case t.pressure < fullPressure:
 		c.relay.avoid(fault, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+		c.relay.verify(fault, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
+	default:
+		c.relay.verify(fault, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
 	}
 	c.penalty[t.dataCentre] += retryPenalty
 	return refused
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -145,15 +145,15 @@
 				c.publish()
 			}
 		case revision := <-c.shown:
-			if revision > c.state.revision && awaited <= c.state.revision {
+			if c.state.reachable && revision > c.state.revision && awaited <= c.state.revision {
 				awaited = revision
 				deaf.Reset(deafAfter)
 			}
 		case <-deaf.C:
-			if awaited > c.state.revision {
+			if c.state.reachable && awaited > c.state.revision {
 				c.reread(awaited)
-				deaf.Reset(deafAfter)
 			}
+			awaited = 0
 		}
 	}
 }
