Let the holder of the lease go on while the store is out of reach for all

Change: the holder goes on while no daemon that it hears from has seen the store for 1.9 s; replicas refuse an old fencing number. The placer asks replicas for their layers after an order and tells the other daemons.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -81,7 +81,7 @@
 // poller is made after News, whose messages it sends and receives.
 func providePoller(state *mangostate.Controller, store *platform.Store, news *mangonews.News) *mangostate.Poller {
 	p := mangostate.NewPoller(state, store, news.Revision)
-	news.Receive(p.Heard)
+	news.Receive(p.Heard, state.See)
 	return p
 }
 
@@ -115,12 +115,14 @@
 func (s subscription) Changed() <-chan struct{} { return s.changed }
 
 func provideTenure(
-	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, logger *logrus.Logger,
+	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, poller *mangostate.Poller,
+	logger *logrus.Logger,
 ) placementTenure {
 	owner := self.Name + "/" + string(b)
 	return placementTenure{mangotenure.New(
 		store, mangostate.PlacementKey, owner, subscription{state, state.Subscribe()}, mangotenure.WithLifetime(placementLease),
 		mangotenure.WithTimeout(storeCallTimeout), mangotenure.WithObserver(tenureObserver(logger, "placement")),
+		mangotenure.WithAlone(poller.Alone),
 	)}
 }
 
@@ -147,11 +149,14 @@
 
 func providePlacer(
 	state *mangostate.Controller, tenure placementTenure, engines *platform.Engines, board *mangoreplica.Board,
-	metrics *mangometric.Relay, logger *logrus.Logger,
+	news *mangonews.News, metrics *mangometric.Relay, logger *logrus.Logger,
 ) *mangolayout.Placer {
 	return mangolayout.New(
 		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order),
-		mangolayout.WithSignal(state.Subscribe()),
+		mangolayout.WithSignal(state.Subscribe()), mangolayout.WithSightings(func(s mangoreplica.Sighting) {
+			state.See(s)
+			news.Sighted(s)
+		}),
 	)
 }
 
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -40,9 +40,9 @@
 	mangorelayRelay := provideRelay(settings, controller, dialer, board, budget, suspects, engines, news, relay, mangoentryPhase, logger)
 	poller := providePoller(controller, store, news)
 	mangoentryBoot := provideBoot()
-	mangoentryPlacementTenure := provideTenure(member, mangoentryBoot, store, controller, logger)
+	mangoentryPlacementTenure := provideTenure(member, mangoentryBoot, store, controller, poller, logger)
 	mangoentryMembership := provideMembership(member, mangoentryBoot, store, controller, logger)
-	placer := providePlacer(controller, mangoentryPlacementTenure, engines, board, relay, logger)
+	placer := providePlacer(controller, mangoentryPlacementTenure, engines, board, news, relay, logger)
 	mangoentryIngress := newIngress(mangorelayRelay, controller, mangoentryPhase, logger)
 	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, client, mangoentryPlacementTenure, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
 	return daemon, nil
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -96,6 +96,9 @@
 	entryLag = 2500 * time.Millisecond
 	// repeatAfter is the time after which an order without an answer is given again.
 	repeatAfter = 1500 * time.Millisecond
+	// reportTimeout bounds a question to a replica, and followStep is the time between two of them.
+	reportTimeout = 400 * time.Millisecond
+	followStep    = 250 * time.Millisecond
 	// conflictPause is the time after which a replica that refused an order is asked again.
 	conflictPause = 500 * time.Millisecond
 )
@@ -117,6 +120,7 @@
 	signal  <-chan struct{}
 	logger  logrus.FieldLogger
 	observe Observer
+	sighted func(s mangoreplica.Sighting)
 
 	mu      sync.Mutex
 	pending map[mangoreplica.Incarnation]pending
@@ -143,11 +147,14 @@
 // WithSignal sets the channel that is signalled after changes of the state.
 func WithSignal(s <-chan struct{}) Option { return func(p *Placer) { p.signal = s } }
 
+// WithSightings sets the receiver of what replicas say of their layers after an order. It must not block.
+func WithSightings(f func(s mangoreplica.Sighting)) Option { return func(p *Placer) { p.sighted = f } }
+
 // New returns a placer. The board tells which replicas are lost before their entries go away.
 func New(state State, tenure Tenure, engines Engines, board *mangoreplica.Board, opts ...Option) *Placer {
 	p := &Placer{
 		state: state, tenure: tenure, engines: engines, board: board, logger: logrus.StandardLogger(),
-		observe: func(string, string) {}, pending: map[mangoreplica.Incarnation]pending{},
+		observe: func(string, string) {}, sighted: func(mangoreplica.Sighting) {}, pending: map[mangoreplica.Incarnation]pending{},
 		orders: map[mangoreplica.Incarnation]uint64{}, seen: map[string]settling{},
 	}
 	for _, o := range opts {
@@ -278,10 +285,17 @@
 
 // give sends an order and notes what became of it.
 func (p *Placer) give(ctx context.Context, o assigned) {
+	if p.place(ctx, o) {
+		p.follow(ctx, o)
+	}
+}
+
+// place reports whether the replica has begun to carry out the order.
+func (p *Placer) place(ctx context.Context, o assigned) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if !p.prepare(ctx, &o) {
-		return
+		return false
 	}
 	outcome, err := p.engines.Place(ctx, o.Order)
 	now := time.Now()
@@ -313,7 +327,35 @@
 		p.settle(i, pending{layers: o.Replica.Layers, blocked: true, until: now.Add(conflictPause)})
 	default:
 		p.accepted(i, o.Expected+1)
-		p.settle(i, pending{layers: o.Layers, until: now.Add(loadTime(o.engine, o.Layers) + entryLag)})
+		p.settle(i, pending{layers: o.Layers, until: now.Add(2*loadTime(o) + entryLag)})
+		return true
+	}
+	return false
+}
+
+// follow asks the replica for its layers once they should be loaded, if its entry does not show them by then. A replica's
+// entry follows its state after up to a heartbeat, and not at all while the store is away.
+func (p *Placer) follow(ctx context.Context, o assigned) {
+	until := time.Now().Add(2*loadTime(o) + entryLag)
+	for wait := loadTime(o); ; wait = followStep {
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		r := p.state.View().Fleet.ByID(o.Replica.ID)
+		if r == nil || r.Born != o.Replica.Born || r.Layers == o.Layers || time.Now().After(until) {
+			return
+		}
+		asking, cancel := context.WithTimeout(ctx, reportTimeout)
+		report, err := p.engines.Report(asking, r)
+		cancel()
+		if err == nil && report.Layers == o.Layers {
+			p.sighted(mangoreplica.Sighting{Replica: r.Incarnation(), Layers: report.Layers})
+			return
+		}
 	}
 }
 
@@ -331,10 +373,12 @@
 	return true
 }
 
-// loadTime is the time to load layers, doubled for loads at the same time and the warm-up.
-func loadTime(e *mangoroute.Engine, r mangoreplica.Range) time.Duration {
-	share := float64(r.Len()) / float64(max(e.Layers, 1))
-	return time.Duration(2 * e.LoadSeconds * share * float64(time.Second))
+// loadTime is the time to load the layers that the replica does not hold yet.
+func loadTime(o assigned) time.Duration {
+	held := o.Replica.Layers
+	kept := max(0, min(held.To, o.Layers.To)-max(held.From, o.Layers.From))
+	share := float64(o.Layers.Len()-kept) / float64(max(o.engine.Layers, 1))
+	return time.Duration(o.engine.LoadSeconds * share * float64(time.Second))
 }
 
 // catchUp reads how many orders a replica has accepted; the plan then starts from what it holds.
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -48,9 +48,11 @@
 	logger   logrus.FieldLogger
 	wake     chan struct{}
 	heard    func(revision uint64)
+	see      func(s mangoreplica.Sighting)
 
 	mu      sync.Mutex
 	waiting []mangoreplica.Outage
+	sightings []mangoreplica.Sighting
 	// revision is one of the store's that the others are to be told; 0 if there is none.
 	revision uint64
 	// told is the position in the log of suspects up to which each daemon was told.
@@ -67,9 +69,9 @@
 // WithLogger sets the logger.
 func WithLogger(l logrus.FieldLogger) Option { return func(n *News) { n.logger = l } }
 
-// Receive sets the receiver of revisions of the store that other daemons have seen. It must be called before Run, and the
-// receiver must not block.
-func (n *News) Receive(heard func(revision uint64)) { n.heard = heard }
+// Receive sets the receivers of what other daemons have seen: revisions of the store and layers of replicas. It must be
+// called before Run, and the receivers must not block.
+func (n *News) Receive(heard func(revision uint64), see func(s mangoreplica.Sighting)) { n.heard, n.see = heard, see }
 
 // New returns News of a daemon.
 func New(
@@ -78,6 +80,7 @@
 	n := &News{
 		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
 		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{}, heard: func(uint64) {},
+		see: func(mangoreplica.Sighting) {},
 	}
 	for _, o := range opts {
 		o(n)
@@ -103,6 +106,16 @@
 	n.Crashed()
 }
 
+// Sighted queues what a replica said of its layers for the other daemons. It never blocks.
+func (n *News) Sighted(s mangoreplica.Sighting) {
+	n.mu.Lock()
+	if len(n.sightings) < maxWaiting {
+		n.sightings = append(n.sightings, s)
+	}
+	n.mu.Unlock()
+	n.Crashed()
+}
+
 // Crashed says that there is something new about requests that crash replicas. It never blocks.
 func (n *News) Crashed() {
 	select {
@@ -140,47 +153,59 @@
 
 // send tells all other daemons what is new.
 func (n *News) send(ctx context.Context) {
-	n.mu.Lock()
-	outages, revision := n.waiting, n.revision
-	n.waiting, n.revision = nil, 0
-	n.mu.Unlock()
 	now := time.Now()
-	var messages []*mangomessage.Outage
-	for _, o := range outages {
-		messages = append(messages, &mangomessage.Outage{
-			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)),
-		})
-	}
+	news := n.take(now)
 	var group sync.WaitGroup
 	for _, m := range n.state.View().Members {
 		if m.Name == n.self.Name {
 			continue
 		}
-		group.Go(func() { n.tell(ctx, m, messages, revision, now) })
+		group.Go(func() { n.tell(ctx, m, news, now) })
 	}
 	group.Wait()
 }
 
+// take returns what waits to be told.
+func (n *News) take(now time.Time) *mangomessage.ExchangeRequest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	news := &mangomessage.ExchangeRequest{
+		From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}, Revision: n.revision,
+	}
+	for _, o := range n.waiting {
+		news.Outages = append(news.Outages, &mangomessage.Outage{
+			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)),
+		})
+	}
+	for _, s := range n.sightings {
+		news.Sightings = append(news.Sightings, &mangomessage.Sighting{
+			Replica: s.Replica.ID, Born: s.Replica.Born, FromLayer: uint32(s.Layers.From), ToLayer: uint32(s.Layers.To),
+		})
+	}
+	n.waiting, n.sightings, n.revision = nil, nil, 0
+	return news
+}
+
 func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
 
-func (n *News) tell(ctx context.Context, m mangostate.Member, outages []*mangomessage.Outage, revision uint64, now time.Time) {
+func (n *News) tell(ctx context.Context, m mangostate.Member, news *mangomessage.ExchangeRequest, now time.Time) {
 	n.mu.Lock()
 	after := n.told[m.Name]
 	n.mu.Unlock()
 	suspicions, next := n.suspects.News(after, now)
-	if len(outages) == 0 && len(suspicions) == 0 && revision == 0 {
+	if len(news.GetOutages()) == 0 && len(news.GetSightings()) == 0 && len(suspicions) == 0 && news.GetRevision() == 0 {
 		n.reached(m.Name, next, true)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	_, err := n.client.Exchange(ctx, m.Address, &mangomessage.ExchangeRequest{
-		From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}, Outages: outages, Suspicions: suspicions,
-		Revision: revision,
+		From: news.GetFrom(), Outages: news.GetOutages(), Sightings: news.GetSightings(), Revision: news.GetRevision(),
+		Suspicions: suspicions,
 	})
 	if err != nil {
 		n.logger.WithFields(logrus.Fields{"event": "peer_unreached", "peer": m.Name, "address": m.Address}).WithError(err).
-			Warn("a daemon could not be told of lost replicas")
+			Warn("a daemon could not be told the news")
 		n.reached(m.Name, after, false)
 		return
 	}
@@ -205,6 +230,12 @@
 	if request.GetRevision() > 0 {
 		n.heard(request.GetRevision())
 	}
+	for _, s := range request.GetSightings() {
+		n.see(mangoreplica.Sighting{
+			Replica: mangoreplica.Incarnation{ID: s.GetReplica(), Born: s.GetBorn()},
+			Layers:  mangoreplica.Range{From: int(s.GetFromLayer()), To: int(s.GetToLayer())},
+		})
+	}
 	n.suspects.Merge(request.GetSuspicions(), now)
 	fleet := n.state.View().Fleet
 	for _, o := range request.GetOutages() {
--- a/internal/mangoreplica/replica.go
+++ b/internal/mangoreplica/replica.go
@@ -39,3 +39,9 @@
 
 // Incarnation returns the identity of this start of the replica.
 func (r *Replica) Incarnation() Incarnation { return Incarnation{ID: r.ID, Born: r.Born} }
+
+// Sighting is what a replica said of its layers when it was asked, which may be before its entry says so.
+type Sighting struct {
+	Replica Incarnation
+	Layers  Range
+}
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -22,8 +22,10 @@
 	defaultBatch = 120 * time.Millisecond
 	// defaultReturn is the time after the store's return within which entries that lapsed come back.
 	defaultReturn = 2200 * time.Millisecond
-	minPause      = 100 * time.Millisecond
-	maxPause      = 800 * time.Millisecond
+	// maxSightings bounds the sightings that wait for the control goroutine.
+	maxSightings = 256
+	minPause     = 100 * time.Millisecond
+	maxPause     = 800 * time.Millisecond
 )
 
 // Controller follows the store. Run owns the state; the other methods are safe for concurrent use.
@@ -39,6 +41,7 @@
 	signals []chan struct{}
 	outside chan bool
 	shown   chan uint64
+	seen    chan mangoreplica.Sighting
 	restart chan struct{}
 
 	state state
@@ -64,7 +67,7 @@
 	c := &Controller{
 		feed: feed, board: board, logger: logrus.StandardLogger(), now: time.Now,
 		wait: defaultWait, batch: defaultBatch, grace: defaultReturn, outside: make(chan bool, 1),
-		shown: make(chan uint64, 1), restart: make(chan struct{}, 1),
+		shown: make(chan uint64, 1), seen: make(chan mangoreplica.Sighting, maxSightings), restart: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -103,6 +106,14 @@
 	}
 }
 
+// See takes what a replica said of its layers; it holds until the entry changes them. It never blocks.
+func (c *Controller) See(s mangoreplica.Sighting) {
+	select {
+	case c.seen <- s:
+	default:
+	}
+}
+
 // answer is the result of one call to the feed.
 type answer struct {
 	changes  []Change
@@ -144,6 +155,10 @@
 			if c.state.sweep(c.now()) {
 				c.publish()
 			}
+		case s := <-c.seen:
+			if c.state.see(s) {
+				c.publish()
+			}
 		case revision := <-c.shown:
 			if c.state.reachable && revision > c.state.revision && awaited <= c.state.revision {
 				awaited = revision
--- a/internal/mangostate/poller.go
+++ b/internal/mangostate/poller.go
@@ -17,6 +17,9 @@
 	// random part of it. The first daemon to ask tells the others, so that they need not.
 	pollAfter  = 900 * time.Millisecond
 	pollSpread = 500 * time.Millisecond
+	// aloneAfter is the time without a sign of the store after which it counts as out of reach for all; the daemons that
+	// reach it tell each other about once a second.
+	aloneAfter = 1900 * time.Millisecond
 	// pollTimeout bounds the question.
 	pollTimeout = 600 * time.Millisecond
 )
@@ -27,17 +30,19 @@
 	store      Revisioner
 	tell       func(revision uint64)
 	confirmed  chan struct{}
-	last       atomic.Uint64
+	// heard is the time since start at which this daemon or another one last saw the store, in nanoseconds.
+	heard atomic.Int64
+	start time.Time
 }
 
 // NewPoller returns a poller; tell passes the revision on to other daemons and must not block.
 func NewPoller(controller *Controller, store Revisioner, tell func(revision uint64)) *Poller {
-	return &Poller{controller: controller, store: store, tell: tell, confirmed: make(chan struct{}, 1)}
+	return &Poller{controller: controller, store: store, tell: tell, confirmed: make(chan struct{}, 1), start: time.Now()}
 }
 
 // Heard takes a revision that another daemon has seen a moment ago. It never blocks.
 func (p *Poller) Heard(revision uint64) {
-	p.last.Store(max(p.last.Load(), revision))
+	p.heard.Store(int64(time.Since(p.start)))
 	p.controller.Shown(revision)
 	select {
 	case p.confirmed <- struct{}{}:
@@ -70,6 +75,12 @@
 	if err != nil {
 		return
 	}
+	p.heard.Store(int64(time.Since(p.start)))
 	p.controller.Shown(revision)
 	p.tell(revision)
 }
+
+// Alone reports that neither this daemon nor any that it hears from has seen the store lately.
+func (p *Poller) Alone() bool {
+	return time.Since(p.start)-time.Duration(p.heard.Load()) > aloneAfter
+}
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -16,6 +16,8 @@
 	grace    time.Duration
 	table    *mangoroute.Table
 	replicas map[string]*mangoreplica.Replica
+	// sighted has the layers of replicas whose entries are behind.
+	sighted map[string]mangoreplica.Range
 	// missing has the replicas whose entries went away while the store was unwell.
 	missing map[string]bool
 	keys    map[string]string
@@ -31,7 +33,8 @@
 func newState(logger logrus.FieldLogger, grace time.Duration) state {
 	return state{
 		logger: logger, grace: grace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{},
-		keys: map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
+		sighted: map[string]mangoreplica.Range{},
+		keys:    map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
 	}
 }
 
@@ -88,6 +91,11 @@
 	}
 	list := make([]*mangoreplica.Replica, 0, len(s.replicas))
 	for _, r := range s.replicas {
+		if layers, ok := s.sighted[r.ID]; ok {
+			copied := *r
+			copied.Layers = layers
+			r = &copied
+		}
 		list = append(list, r)
 	}
 	s.fleet = mangoreplica.NewFleet(list)
@@ -143,6 +151,9 @@
 		r.Draining = true
 	}
 	s.replicas[r.ID] = r
+	if old == nil || old.Layers != r.Layers || old.Born != r.Born {
+		delete(s.sighted, r.ID)
+	}
 	if old != nil && *old == *r {
 		return false
 	}
@@ -180,10 +191,25 @@
 	}
 	delete(s.replicas, id)
 	delete(s.missing, id)
+	delete(s.sighted, id)
 	s.logReplica("replica_gone", r).Info("the entry of a replica is gone")
 	return true
 }
 
+// see notes the layers of a replica whose entry is behind; it reports whether that is news.
+func (s *state) see(g mangoreplica.Sighting) bool {
+	r := s.replicas[g.Replica.ID]
+	if r == nil || r.Born != g.Replica.Born || r.Layers == g.Layers || s.sighted[r.ID] == g.Layers {
+		return false
+	}
+	s.sighted[r.ID] = g.Layers
+	s.logger.WithFields(logrus.Fields{
+		"event": "replica_sighted", "replica": r.ID, "layers_from": g.Layers.From, "layers_to": g.Layers.To,
+		"entry_from": r.Layers.From, "entry_to": r.Layers.To, "revision": s.revision,
+	}).Info("a replica holds other layers than its entry says")
+	return s.rebuild(true)
+}
+
 // sweep drops the entries that are still missing some time after the store's return.
 func (s *state) sweep(now time.Time) bool {
 	if len(s.missing) == 0 || s.doubtful(now) {
--- a/internal/mangotenure/tenure.go
+++ b/internal/mangotenure/tenure.go
@@ -36,6 +36,8 @@
 	checkInterval = 250 * time.Millisecond
 	// maxHaste bounds the random pause before a free key is taken, so that daemons do not all write at once.
 	maxHaste = 120 * time.Millisecond
+	// maxOverdue bounds the time for which a holder goes on while the store is out of reach.
+	maxOverdue = 30 * time.Second
 	// minPause and maxPause bound the growing pause after a failed call.
 	minPause = 200 * time.Millisecond
 	maxPause = 2 * time.Second
@@ -50,6 +52,8 @@
 	observe  Observer
 	lifetime time.Duration
 	timeout  time.Duration
+	// alone reports that no daemon that this one hears from reaches the store.
+	alone func() bool
 
 	mu    sync.Mutex
 	lease uint64
@@ -72,11 +76,17 @@
 // WithObserver sets the receiver of changes.
 func WithObserver(o Observer) Option { return func(t *Tenure) { t.observe = o } }
 
+// WithAlone lets the holder go on after the end of its lease while a function reports that no daemon that this one hears
+// from reaches the store, so that nobody can have taken the key. Where another daemon has it all the same, beyond a cut,
+// replicas refuse the lower fencing number.
+func WithAlone(f func() bool) Option { return func(t *Tenure) { t.alone = f } }
+
 // New returns a tenure that does not hold the key yet. The owner must differ from that of every other process, earlier
 // ones of the same daemon included.
 func New(store Store, key, owner string, lookup Lookup, opts ...Option) *Tenure {
 	t := &Tenure{
 		store: store, key: key, owner: owner, lookup: lookup, observe: func(bool, uint64, error) {},
+		alone: func() bool { return false },
 		lifetime: 2 * time.Second, timeout: 500 * time.Millisecond,
 	}
 	for _, o := range opts {
@@ -95,11 +105,12 @@
 	return time.Duration(ts.Nano())
 }
 
-// Holds returns the fencing number while the lease surely lasts.
+// Holds returns the fencing number while the lease surely lasts, or nobody else can have taken it.
 func (t *Tenure) Holds() (uint64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.fence, t.lease != 0 && sinceBoot() < t.until
+	now := sinceBoot()
+	return t.fence, t.lease != 0 && (now < t.until || (now < t.until+maxOverdue && t.alone()))
 }
 
 // Renounce gives up the key after a replica has seen a higher number.
