Pause after a refused order and ramp up the slack of retries

Cause: a replica that refused an order for its number of orders was asked again at once with a number from a report that lags, several times a second. Extensions keep room for 60,000 tokens.

--- a/internal/mangobudget/budget.go
+++ b/internal/mangobudget/budget.go
@@ -26,6 +26,9 @@
 	start    time.Time
 	limit    Limit
 	services map[string]*account
+	// ramp says that the slack grows over the first window. A daemon that has just started again does not know what it
+	// has spent before.
+	ramp bool
 	// most is the highest number of daemons seen. A daemon that is out of sight may still spend its share.
 	most int
 }
@@ -36,9 +39,19 @@
 	retries  window
 }
 
+// Option sets a property of a Budget.
+type Option func(*Budget)
+
+// WithRamp lets the slack grow over the first window; it is for daemons that may have run a moment ago.
+func WithRamp(ramp bool) Option { return func(b *Budget) { b.ramp = ramp } }
+
 // New returns a budget without requests.
-func New(limit Limit) *Budget {
-	return &Budget{start: time.Now(), limit: limit, services: map[string]*account{}, most: 1}
+func New(limit Limit, opts ...Option) *Budget {
+	b := &Budget{start: time.Now(), limit: limit, services: map[string]*account{}, most: 1}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // SetLimit replaces the limit after a change of the settings.
@@ -87,5 +100,9 @@
 
 func (b *Budget) allowance(a *account, now time.Time) float64 {
 	requests := float64(a.requests.count(now.Sub(b.start), b.limit.Window))
-	return (b.limit.Ratio*requests + b.limit.Slack/float64(b.most)) * (1 - reserve)
+	slack := b.limit.Slack / float64(b.most)
+	if b.ramp && b.limit.Window > 0 {
+		slack *= min(1, now.Sub(b.start).Seconds()/b.limit.Window.Seconds())
+	}
+	return (b.limit.Ratio*requests + slack) * (1 - reserve)
 }
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -381,28 +381,28 @@
 	return time.Duration(o.engine.LoadSeconds * share * float64(time.Second))
 }
 
-// catchUp reads how many orders a replica has accepted; the plan then starts from what it holds.
+// catchUp reads how many orders a replica has accepted; the plan then starts from what it holds. The pause covers the lag
+// of reports.
 func (p *Placer) catchUp(ctx context.Context, o assigned, now time.Time) {
 	i := o.Replica.Incarnation()
 	next := pending{layers: o.Replica.Layers, blocked: true, until: now.Add(conflictPause)}
-	p.mu.Lock()
-	before, known := p.orders[i]
-	p.mu.Unlock()
 	report, err := p.engines.Report(ctx, o.Replica)
 	if err != nil {
 		p.logger.WithField("replica", o.Replica.ID).WithError(err).Warn("a replica did not say how many orders it has accepted")
 		p.settle(i, next)
 		return
 	}
-	p.accepted(i, report.Orders)
-	if !known || before != report.Orders {
-		// The number was the reason, so the order can be given again at once.
+	p.mu.Lock()
+	before, known := p.orders[i]
+	p.orders[i] = max(before, report.Orders)
+	p.mu.Unlock()
+	if !known && !report.Busy && report.Layers == o.Replica.Layers {
+		// Nothing was ordered lately, so the number is not behind.
 		next.until = now
 	}
-	if report.Busy || report.Layers != o.Replica.Layers {
-		// It holds or loads something else than its entry says; the entry follows.
-		next.layers, next.blocked = report.Layers, false
-		next.until = now.Add(entryLag)
+	if report.Layers != o.Replica.Layers && !report.Busy {
+		// The entry follows; until then the layers that the replica itself names count.
+		p.sighted(mangoreplica.Sighting{Replica: i, Layers: report.Layers})
 	}
 	p.settle(i, next)
 }
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -29,11 +29,16 @@
 	// usualRoom is the number of tokens of requests that a replica has room for if the data centre has memory enough. At
 	// 950 tokens a request it holds the requests of three data centres at a usual hour.
 	usualRoom = 150000.0
+	// calmRoom holds the requests of one data centre at a usual hour and half as many again.
+	calmRoom = 80000.0
 	// leastRoom is the room below which a replica is no use in a chain, and roomStep the step between tries.
 	leastRoom = 12000.0
 	roomStep  = 4000.0
 	// extendedRoom is the room that a replica keeps when it takes over layers of a lost neighbour.
-	extendedRoom = 50000.0
+	extendedRoom = 60000.0
+	// reserve is the number of layers, as a share of the model, that replicas hold twice if the memory allows it: a copy
+	// can take the place of a lost replica at once.
+	reserve = 0.0
 )
 
 // Plan returns the moves that bring the layers of each data centre closer to complete and then double cover. Data
@@ -86,10 +91,15 @@
 	return p.moves
 }
 
-// chooseRoom takes the largest room with which the replicas hold the whole model.
+// chooseRoom takes the largest room with which the replicas hold the whole model and the reserve; below the room that a
+// calm hour needs the reserve is given up first.
 func (p *planner) chooseRoom() {
+	wanted := p.engine.Layers + int(reserve*float64(p.engine.Layers))
 	for p.room = usualRoom; p.room > leastRoom; p.room -= roomStep {
-		if p.total() >= p.engine.Layers {
+		if p.room < calmRoom {
+			wanted = p.engine.Layers
+		}
+		if p.total() >= wanted {
 			return
 		}
 	}
