Let sightings of layers end when the entry should have followed

A replica was sighted with 13 layers, then trimmed to the 12 that its entry had all the while, so no change of the entry ever ended the sighting. Change: a sighting ends after 3 s while the store is well, and with a report that agrees with the entry; a replica is trimmed from 3 layers too many on.

--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -352,7 +352,7 @@
 		asking, cancel := context.WithTimeout(ctx, reportTimeout)
 		report, err := p.engines.Report(asking, r)
 		cancel()
-		if err == nil && report.Layers == o.Layers {
+		if err == nil && !report.Busy && report.Layers == o.Layers {
 			p.sighted(mangoreplica.Sighting{Replica: r.Incarnation(), Layers: report.Layers})
 			return
 		}
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -35,7 +35,10 @@
 	leastRoom = 12000.0
 	roomStep  = 4000.0
 	// extendedRoom is the room that a replica keeps when it takes over layers of a lost neighbour.
-	extendedRoom = 60000.0
+	extendedRoom = 90000.0
+	// trimAt is the number of layers too many from which a replica gives them up; a smaller change is not worth the
+	// moment for which the replica takes no requests.
+	trimAt = 3
 	// reserve is the number of layers, as a share of the model, that replicas hold twice if the memory allows it: a copy
 	// can take the place of a lost replica at once.
 	reserve = 0.0
@@ -355,7 +358,7 @@
 func (p *planner) trim() {
 	for i, s := range p.states {
 		n := p.size(s, p.room)
-		if !s.Settled || n <= 0 || s.Layers.Len() <= n {
+		if !s.Settled || n <= 0 || s.Layers.Len() < n+trimAt {
 			continue
 		}
 		r := s.Layers
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -156,7 +156,7 @@
 				c.publish()
 			}
 		case s := <-c.seen:
-			if c.state.see(s) {
+			if c.state.see(s, c.now()) {
 				c.publish()
 			}
 		case revision := <-c.shown:
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -17,7 +17,7 @@
 	table    *mangoroute.Table
 	replicas map[string]*mangoreplica.Replica
 	// sighted has the layers of replicas whose entries are behind.
-	sighted map[string]mangoreplica.Range
+	sighted map[string]sighting
 	// missing has the replicas whose entries went away while the store was unwell.
 	missing map[string]bool
 	keys    map[string]string
@@ -30,10 +30,20 @@
 	fleet     *mangoreplica.Fleet
 }
 
+// sighting is what a replica said of its layers at a time.
+type sighting struct {
+	layers mangoreplica.Range
+	at     time.Time
+}
+
+// sightingAge is the time after which the entry of a replica goes before a sighting again, if the store is well. An entry
+// follows within a heartbeat or two; one that does not change says that the replica went back to what it held.
+const sightingAge = 3 * time.Second
+
 func newState(logger logrus.FieldLogger, grace time.Duration) state {
 	return state{
 		logger: logger, grace: grace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{},
-		sighted: map[string]mangoreplica.Range{},
+		sighted: map[string]sighting{},
 		keys:    map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
 	}
 }
@@ -91,9 +101,9 @@
 	}
 	list := make([]*mangoreplica.Replica, 0, len(s.replicas))
 	for _, r := range s.replicas {
-		if layers, ok := s.sighted[r.ID]; ok {
+		if g, ok := s.sighted[r.ID]; ok {
 			copied := *r
-			copied.Layers = layers
+			copied.Layers = g.layers
 			r = &copied
 		}
 		list = append(list, r)
@@ -197,12 +207,20 @@
 }
 
 // see notes the layers of a replica whose entry is behind; it reports whether that is news.
-func (s *state) see(g mangoreplica.Sighting) bool {
+func (s *state) see(g mangoreplica.Sighting, now time.Time) bool {
 	r := s.replicas[g.Replica.ID]
-	if r == nil || r.Born != g.Replica.Born || r.Layers == g.Layers || s.sighted[r.ID] == g.Layers {
+	if r == nil || r.Born != g.Replica.Born {
+		return false
+	}
+	old, known := s.sighted[r.ID]
+	if r.Layers == g.Layers {
+		delete(s.sighted, r.ID)
+		return s.rebuild(known)
+	}
+	s.sighted[r.ID] = sighting{layers: g.Layers, at: now}
+	if known && old.layers == g.Layers {
 		return false
 	}
-	s.sighted[r.ID] = g.Layers
 	s.logger.WithFields(logrus.Fields{
 		"event": "replica_sighted", "replica": r.ID, "layers_from": g.Layers.From, "layers_to": g.Layers.To,
 		"entry_from": r.Layers.From, "entry_to": r.Layers.To, "revision": s.revision,
@@ -210,12 +228,24 @@
 	return s.rebuild(true)
 }
 
+// forgetSightings drops those that the entries should have confirmed by now.
+func (s *state) forgetSightings(now time.Time) bool {
+	changed := false
+	for id, g := range s.sighted {
+		if now.Sub(g.at) > sightingAge {
+			delete(s.sighted, id)
+			changed = true
+		}
+	}
+	return s.rebuild(changed)
+}
+
 // sweep drops the entries that are still missing some time after the store's return.
 func (s *state) sweep(now time.Time) bool {
-	if len(s.missing) == 0 || s.doubtful(now) {
+	if s.doubtful(now) {
 		return false
 	}
-	changed := false
+	changed := s.forgetSightings(now)
 	for id := range s.missing {
 		changed = s.loseReplica(id, now) || changed
 	}
