--- a/internal/mangobudget/budget.go
+++ b/internal/mangobudget/budget.go
@@ -21,14 +21,13 @@
 
 // Budget counts the requests and retries of one daemon. It is safe for concurrent use.
 type Budget struct {
-	mu       sync.Mutex
+	mu sync.Mutex
 	// start is the origin of the times in windows; steps of the time of day do not change the distance to it.
 	start    time.Time
 	limit    Limit
 	services map[string]*account
-	// ramp says that the slack grows over the first window. A daemon that has just started again does not know what it
-	// has spent before.
-	ramp bool
+	// restarted says that there is no slack in the first window: the daemon may have spent all of it just before.
+	restarted bool
 	// most is the highest number of daemons seen. A daemon that is out of sight may still spend its share.
 	most int
 }
@@ -42,8 +41,8 @@
 // Option sets a property of a Budget.
 type Option func(*Budget)
 
-// WithRamp lets the slack grow over the first window; it is for daemons that may have run a moment ago.
-func WithRamp(ramp bool) Option { return func(b *Budget) { b.ramp = ramp } }
+// WithRestarted withholds the slack for the first window; it is for daemons that may have run a moment ago.
+func WithRestarted(restarted bool) Option { return func(b *Budget) { b.restarted = restarted } }
 
 // New returns a budget without requests.
 func New(limit Limit, opts ...Option) *Budget {
@@ -101,8 +100,8 @@
 func (b *Budget) allowance(a *account, now time.Time) float64 {
 	requests := float64(a.requests.count(now.Sub(b.start), b.limit.Window))
 	slack := b.limit.Slack / float64(b.most)
-	if b.ramp && b.limit.Window > 0 {
-		slack *= min(1, now.Sub(b.start).Seconds()/b.limit.Window.Seconds())
+	if b.restarted && now.Sub(b.start) < b.limit.Window {
+		slack = 0
 	}
 	return (b.limit.Ratio*requests + slack) * (1 - reserve)
 }
--- /dev/null
+++ b/internal/mangobudget/budget_test.go
@@ -0,0 +1,104 @@
+package mangobudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against a fleet that together spends more than its budget in some window, whatever the order of requests,
+// retries, daemons that come and go out of sight, and restarts that forget what was spent.
+func TestFleetKeepsBudget(t *testing.T) {
+	limit := Limit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 6).Draw(t, "daemons")
+		start := time.Now()
+		budgets := make([]*Budget, daemons)
+		for i := range budgets {
+			budgets[i] = New(limit)
+			budgets[i].start = start
+			budgets[i].most = daemons
+		}
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			seen := rapid.IntRange(1, daemons).Draw(t, "seen")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2:
+				budgets[i].Request("s", start.Add(now))
+				requests = append(requests, now)
+			case 3:
+				if rapid.IntRange(0, 30).Draw(t, "restart") == 0 {
+					budgets[i] = New(limit, WithRestarted(true))
+					budgets[i].start = start.Add(now)
+					budgets[i].most = daemons
+				}
+			default:
+				if budgets[i].Take("s", seen, start.Add(now)) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for _, end := range retries {
+			spent, asked := count(retries, end-limit.Window, end), count(requests, end-limit.Window, end)
+			if float64(spent) > limit.Ratio*float64(asked)+limit.Slack {
+				t.Fatalf("%d retries for %d requests in the window before %v", spent, asked, end)
+			}
+		}
+	})
+}
+
+func count(times []time.Duration, after, until time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > after && at <= until {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a whole share of the slack that is spent again right after each restart.
+func TestRestartHasNoSlack(t *testing.T) {
+	tests := []struct {
+		name      string
+		restarted bool
+		after     time.Duration
+		want      int
+	}{
+		{"first start", false, 0, 85},
+		{"restart", true, 0, 0},
+		{"half a window later", true, 5 * time.Second, 0},
+		{"a window later", true, 10 * time.Second, 85},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := New(Limit{Slack: 100, Window: 10 * time.Second}, WithRestarted(tt.restarted))
+			now := b.start.Add(tt.after)
+			n := 0
+			for b.Take("s", 1, now) {
+				n++
+			}
+			is.Equal(n, tt.want)
+		})
+	}
+}
+
+// Guards against a lost peer that makes the shares of the others larger.
+func TestLostPeersKeepTheirShare(t *testing.T) {
+	is := is.New(t)
+	b := New(Limit{Slack: 100, Window: 10 * time.Second})
+	n := 0
+	for b.Take("s", 10, b.start) {
+		n++
+	}
+	for b.Take("s", 1, b.start) {
+		n++
+	}
+	is.Equal(n, 8)
+}
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -51,7 +51,7 @@
 }
 
 func provideBudget(s *mangomessage.RelaySettings) *mangobudget.Budget {
-	return mangobudget.New(retryLimit(s), mangobudget.WithRamp(!s.GetHost().GetFirstStart()))
+	return mangobudget.New(retryLimit(s), mangobudget.WithRestarted(!s.GetHost().GetFirstStart()))
 }
 
 func retryLimit(s *mangomessage.RelaySettings) mangobudget.Limit {
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -41,7 +41,7 @@
 	trimAt = 3
 	// reserve is the number of layers, as a share of the model, that replicas hold twice if the memory allows it: a copy
 	// can take the place of a lost replica at once.
-	reserve = 0.0
+	reserve = 0.12
 )
 
 // Plan returns the moves that bring the layers of each data centre closer to complete and then double cover. Data
--- /dev/null
+++ b/internal/mangopipeline/choose_test.go
@@ -0,0 +1,148 @@
+package mangopipeline
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+)
+
+func engine(layers int) *mangoroute.Engine {
+	return &mangoroute.Engine{
+		Layers: layers, LayerMB: 1750, TokenBytes: 590000, StepMS: 0.85,
+		Accelerators: map[string]mangoroute.Accelerator{"a": {MemoryMB: 72000, StepFactor: 1}, "b": {MemoryMB: 36000, StepFactor: 9}},
+	}
+}
+
+func still() float64 { return 0 }
+
+func replica(id, dataCentre, kind string, from, to int) *mangoreplica.Replica {
+	return &mangoreplica.Replica{
+		ID: id, Address: id, DataCentre: dataCentre, Accelerator: kind, Layers: mangoreplica.Range{From: from, To: to},
+	}
+}
+
+// naive tries all ways through one data centre.
+func naive(replicas []*mangoreplica.Replica, dataCentre string, at, layers int, cost func(*mangoreplica.Replica, int) float64) (float64, bool) {
+	if at >= layers {
+		return 0, true
+	}
+	best, found := 0.0, false
+	for _, r := range replicas {
+		if r.DataCentre != dataCentre || r.Layers.From > at || r.Layers.To <= at {
+			continue
+		}
+		to := min(r.Layers.To, layers)
+		if rest, ok := naive(replicas, dataCentre, to, layers, cost); ok && (!found || cost(r, to-at)+rest < best) {
+			best, found = cost(r, to-at)+rest, true
+		}
+	}
+	return best, found
+}
+
+// Guards against chains that leave out or repeat a layer, cross data centres, or cost more than the best way, by trying
+// all ways.
+func TestChooseAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 12).Draw(t, "layers")
+		var replicas []*mangoreplica.Replica
+		for i := range rapid.IntRange(0, 7).Draw(t, "replicas") {
+			from := rapid.IntRange(0, layers).Draw(t, "from")
+			replicas = append(replicas, replica(
+				fmt.Sprint(i), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "centre"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "kind"),
+				from, rapid.IntRange(from, layers).Draw(t, "to"),
+			))
+		}
+		e := engine(layers)
+		view := View{Replicas: replicas, Engine: e, Loads: mangoreplica.NewBoard(), Local: "x", Daemons: 1, Now: time.Unix(0, 0)}
+		cost := func(r *mangoreplica.Replica, n int) float64 {
+			return assess(view, Request{Random: still}, r).perLayer*float64(n) + float64(hopCost)
+		}
+		local, inLocal := naive(replicas, "x", 0, layers, cost)
+		remote, inRemote := naive(replicas, "y", 0, layers, cost)
+		remote += float64(remoteCost)
+		chain, err := Choose(view, Request{Random: still})
+		if (err == nil) != (inLocal || inRemote) {
+			t.Fatalf("chosen %v, naive %v %v", err == nil, inLocal, inRemote)
+		}
+		if err != nil {
+			return
+		}
+		at := 0
+		for _, p := range chain.Parts {
+			if p.Layers.From != at || p.Replica.DataCentre != chain.DataCentre || !p.Replica.Layers.Holds(p.Layers) {
+				t.Fatalf("part %v of %s does not continue at %d", p.Layers, p.Replica.ID, at)
+			}
+			at = p.Layers.To
+		}
+		want := local
+		if !inLocal || (inRemote && remote < local) {
+			want = remote
+		}
+		if at != layers || float64(chain.Cost) > want+2 || float64(chain.Cost) < want-2 {
+			t.Fatalf("the chain ends at %d and costs %v, the best %v", at, chain.Cost, time.Duration(want))
+		}
+	})
+}
+
+// Guards against chains through replicas that leave or failed just now, and against refusing requests while only
+// replicas in doubt are left.
+func TestChooseAvoids(t *testing.T) {
+	now := time.Unix(100, 0)
+	whole, draining := replica("whole", "x", "a", 0, 8), replica("draining", "x", "a", 0, 8)
+	draining.Draining = true
+	slow := replica("slow", "x", "b", 0, 8)
+	tests := []struct {
+		name     string
+		replicas []*mangoreplica.Replica
+		avoid    []*mangoreplica.Replica
+		exclude  map[string]bool
+		want     string
+	}{
+		{name: "the fastest", replicas: []*mangoreplica.Replica{slow, whole}, want: "whole"},
+		{name: "not a leaving one", replicas: []*mangoreplica.Replica{slow, draining}, want: "slow"},
+		{name: "not an avoided one", replicas: []*mangoreplica.Replica{slow, whole}, avoid: []*mangoreplica.Replica{whole}, want: "slow"},
+		{name: "an avoided one if need be", replicas: []*mangoreplica.Replica{whole}, avoid: []*mangoreplica.Replica{whole}, want: "whole"},
+		{name: "not one that this request met", replicas: []*mangoreplica.Replica{slow, whole}, exclude: map[string]bool{"whole": true}, want: "slow"},
+		{name: "none", replicas: []*mangoreplica.Replica{draining}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			board := mangoreplica.NewBoard()
+			for _, r := range tt.avoid {
+				board.Avoid(r.Incarnation(), mangoreplica.CauseReset, time.Second, now)
+			}
+			chain, err := Choose(
+				View{Replicas: tt.replicas, Engine: engine(8), Loads: board, Local: "x", Daemons: 1, Now: now},
+				Request{Exclude: tt.exclude, Random: still},
+			)
+			is.Equal(err == nil, tt.want != "")
+			is.Equal(chain.String(), tt.want)
+		})
+	}
+}
+
+// Guards against one data centre that is filled beyond its memory while others have room.
+func TestPressureSpreads(t *testing.T) {
+	is := is.New(t)
+	board := mangoreplica.NewBoard()
+	view := View{
+		Replicas: []*mangoreplica.Replica{replica("near", "x", "b", 0, 8), replica("far", "y", "b", 0, 8)},
+		Engine:   engine(8), Loads: board, Local: "x", Daemons: 1, Now: time.Unix(0, 0),
+	}
+	seen := map[string]int{}
+	for range 60 {
+		chain, err := Choose(view, Request{Tokens: 1000, Random: still})
+		is.NoErr(err)
+		board.Begin(1000, chain.IDs()...)
+		seen[chain.String()]++
+	}
+	is.True(seen["near"] > seen["far"])
+	is.True(seen["far"] > 10)
+}
