Hold requests back that were aboard several crashes until they are judged

Cause: a request that crashes each replica took six replicas with it within the 2 s in which the reports of a crash settle (test with six replicas).

--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -128,13 +128,19 @@
 	c.deadline = c.dueTime()
 	c.relay.budget.Request(c.serviceName, time.Now())
 	c.fingerprint = c.print()
-	if verdict := c.relay.suspects.Check(c.fingerprint, time.Now()); verdict == mangosuspect.Condemned {
+	if c.crashes() {
 		c.refuse("CrashesUpstreams", http.StatusServiceUnavailable, retryCondemned)
 		return false
 	}
 	return true
 }
 
+// crashes reports whether the request crashes upstreams, or was aboard several crashes that are not yet judged.
+func (c *call) crashes() bool {
+	now := time.Now()
+	return c.relay.suspects.Check(c.fingerprint, now) == mangosuspect.Condemned || c.relay.suspects.Held(c.fingerprint, now)
+}
+
 // dueTime is when the caller or the route stops waiting, whichever is first.
 func (c *call) dueTime() time.Time {
 	patience := c.request.Patience
@@ -234,6 +240,8 @@
 		return "TooManySends"
 	case c.runs >= max(c.route.MaxAttempts, 1):
 		return "TooManyAttempts"
+	case c.runs > 0 && c.crashes():
+		return "CrashesUpstreams"
 	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), time.Now()):
 		return "BudgetSpent"
 	}
--- a/internal/mangosuspect/verdict.go
+++ b/internal/mangosuspect/verdict.go
@@ -29,6 +29,14 @@
 	return verdict
 }
 
+// Held reports whether a fingerprint was aboard several crashes and reports that decide on it may still be on their way.
+func (s *Suspects) Held(fingerprint string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, held := s.judge(fingerprint, now)
+	return held
+}
+
 // judge returns the verdict, and whether reports that decide it may still be on their way.
 func (s *Suspects) judge(fingerprint string, now time.Time) (Verdict, bool) {
 	crashes := s.live(fingerprint, now)
