Check the replicas of a silent chain at once and keep retries for begun streams

Change: after 100 ms without an event all replicas of the chain are checked with a connection; 40% of the retry budget is kept for streams that have begun.

--- a/internal/mangobudget/budget.go
+++ b/internal/mangobudget/budget.go
@@ -76,13 +76,14 @@
 	b.account(service).requests.add(now.Sub(b.start), b.limit.Window)
 }
 
-// Take spends one retry if the budget allows; daemons is the number of daemons that share it.
-func (b *Budget) Take(service string, daemons int, now time.Time) bool {
+// Take spends one retry if the budget allows and a share of it is left for retries of more worth; daemons is the number of
+// daemons that share it.
+func (b *Budget) Take(service string, daemons int, keep float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.most = max(b.most, daemons)
 	a := b.account(service)
-	if float64(a.retries.count(now.Sub(b.start), b.limit.Window))+1 > b.allowance(a, now) {
+	if float64(a.retries.count(now.Sub(b.start), b.limit.Window))+1 > b.allowance(a, now)*(1-keep) {
 		return false
 	}
 	a.retries.add(now.Sub(b.start), b.limit.Window)
--- a/internal/mangobudget/budget_test.go
+++ b/internal/mangobudget/budget_test.go
@@ -38,7 +38,7 @@
 					budgets[i].most = daemons
 				}
 			default:
-				if budgets[i].Take("s", seen, start.Add(now)) {
+				if budgets[i].Take("s", seen, rapid.SampledFrom([]float64{0, 0.4}).Draw(t, "keep"), start.Add(now)) {
 					retries = append(retries, now)
 				}
 			}
@@ -81,7 +81,7 @@
 			b := New(Limit{Slack: 100, Window: 10 * time.Second}, WithRestarted(tt.restarted))
 			now := b.start.Add(tt.after)
 			n := 0
-			for b.Take("s", 1, now) {
+			for b.Take("s", 1, 0, now) {
 				n++
 			}
 			is.Equal(n, tt.want)
@@ -94,10 +94,10 @@
 	is := is.New(t)
 	b := New(Limit{Slack: 100, Window: 10 * time.Second})
 	n := 0
-	for b.Take("s", 10, b.start) {
+	for b.Take("s", 10, 0, b.start) {
 		n++
 	}
-	for b.Take("s", 1, b.start) {
+	for b.Take("s", 1, 0, b.start) {
 		n++
 	}
 	is.Equal(n, 8)
--- a/internal/mangobudget/doc.go
+++ b/internal/mangobudget/doc.go
@@ -6,7 +6,7 @@
 //
 //	budget := mangobudget.New(mangobudget.Limit{Ratio: 0.2, Slack: 198, Window: 10 * time.Second})
 //	budget.Request("service", now)
-//	if budget.Take("service", daemons, now) { ... }
+//	if budget.Take("service", daemons, 0, now) { ... }
 //
 // A daemon never spends more than its own ratio and an equal part of the slack, whatever the others do.
 package mangobudget
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -50,8 +50,8 @@
 	heard    func(revision uint64)
 	see      func(s mangoreplica.Sighting)
 
-	mu      sync.Mutex
-	waiting []mangoreplica.Outage
+	mu        sync.Mutex
+	waiting   []mangoreplica.Outage
 	sightings []mangoreplica.Sighting
 	// revision is one of the store's that the others are to be told; 0 if there is none.
 	revision uint64
@@ -71,7 +71,9 @@
 
 // Receive sets the receivers of what other daemons have seen: revisions of the store and layers of replicas. It must be
 // called before Run, and the receivers must not block.
-func (n *News) Receive(heard func(revision uint64), see func(s mangoreplica.Sighting)) { n.heard, n.see = heard, see }
+func (n *News) Receive(heard func(revision uint64), see func(s mangoreplica.Sighting)) {
+	n.heard, n.see = heard, see
+}
 
 // New returns News of a daemon.
 func New(
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -21,6 +21,8 @@
 	// lost replica is replaced in about two seconds, so a longer wait would seldom help.
 	emptyWait = 300 * time.Millisecond
 	emptyStep = 50 * time.Millisecond
+	// keepForStreams is the share of the retry budget that is kept for streams that have begun.
+	keepForStreams = 0.4
 	// answerMargin is kept of the caller's time, so that the final answer still reaches it.
 	answerMargin = 20 * time.Millisecond
 )
@@ -65,6 +67,9 @@
 	// started says that a part of the answer has gone to the caller.
 	started    bool
 	firstEvent time.Duration
+	// lastEvent is the time at which events were last passed on, and longestGap the longest pause between them.
+	lastEvent  time.Time
+	longestGap time.Duration
 	events     eventBuffer
 	status     int
 	outcome    string
@@ -242,7 +247,7 @@
 		return "TooManyAttempts"
 	case c.runs > 0 && c.crashes():
 		return "CrashesUpstreams"
-	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), time.Now()):
+	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), c.keep(), time.Now()):
 		return "BudgetSpent"
 	}
 	if c.arrivals > 0 {
@@ -251,6 +256,15 @@
 	return ""
 }
 
+// keep returns the share of the retry budget that this request must leave. A stream that has begun is lost without a
+// retry, while others can come back.
+func (c *call) keep() float64 {
+	if c.started {
+		return 0
+	}
+	return keepForStreams
+}
+
 // await chooses a target; while there is none it waits a moment for one.
 func (c *call) await(ctx context.Context) (target, bool) {
 	until := time.Now().Add(emptyWait)
@@ -343,7 +357,8 @@
 	entry := c.relay.logger.WithFields(logrus.Fields{
 		"event": "request_done", "request": c.request.ID, "route": route, "kind": kind, "version": version,
 		"customer": c.customer.Name, "service": c.serviceName, "status": c.status, "outcome": c.outcome, "whole": whole,
-		"sends": c.sends, "runs": c.runs, "first_ms": c.firstEvent.Milliseconds(), "took_ms": took.Milliseconds(),
+		"sends": c.sends, "runs": c.runs, "first_ms": c.firstEvent.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
+		"took_ms": took.Milliseconds(),
 	})
 	if c.outcome == "Delivered" {
 		entry.Info("a request ended")
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -75,6 +75,7 @@
 	closed   func() bool
 	aboard   *manifest
 	probes   *probes
+	checks   *probes
 	pace     pace
 	jobs     sync.WaitGroup
 }
@@ -111,7 +112,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		closing: func() bool { return false }, closed: func() bool { return false }, aboard: newManifest(), probes: newProbes(),
+		closing: func() bool { return false }, closed: func() bool { return false }, aboard: newManifest(), probes: newProbes(), checks: newProbes(),
 	}
 	for _, o := range opts {
 		o(r)
@@ -164,4 +165,3 @@
 func (noObserver) Send(string, string) {}
 
 func (noObserver) Retry(string, string) {}
-
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -61,7 +61,10 @@
 		c.firstEvent = time.Since(c.request.Arrived)
 		c.relay.observer.FirstEvent(c.route.Name, c.firstEvent)
 		c.relay.pace.note(c.firstEvent)
+	} else {
+		c.longestGap = max(c.longestGap, time.Since(c.lastEvent))
 	}
+	c.lastEvent = time.Now()
 	if _, err := c.writer.Write(events); err != nil {
 		return err
 	}
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -15,13 +15,16 @@
 const (
 	// firstSoft and firstHard are the times without a first event after which the cause is looked for and the chain is
 	// given up. The first event comes after about 60 ms on a calm day.
-	firstSoft = 350 * time.Millisecond
+	firstSoft = 250 * time.Millisecond
 	firstHard = 900 * time.Millisecond
-	// gapSoft and gapHard are the same for the time between events, which is about 30 ms on a calm day.
-	gapSoft = 220 * time.Millisecond
+	// gapSoft and gapHard are the same for the time between events, which is about 30 ms on a calm day. A stream is on
+	// time with pauses up to 200 ms, of which a new chain needs about 60.
+	gapSoft = 100 * time.Millisecond
 	gapHard = 600 * time.Millisecond
 	// lastHard is the limit when no other chain may be tried; callers leave a stream after 2 s of silence.
 	lastHard = 2400 * time.Millisecond
+	// reportAfter is the silence after which the first replica is asked what it waits for; its report is about 200 ms old.
+	reportAfter = 300 * time.Millisecond
 	// stallPoll is the time between two looks at what is known about a chain that is silent.
 	stallPoll = 25 * time.Millisecond
 	// plainHardMin is the least time for which an idempotent request waits before another replica is tried.
@@ -51,7 +54,10 @@
 	case w.partLost():
 		return 0
 	}
-	w.call.relay.diagnose(w.target.first, w.call.request.ID)
+	w.call.relay.examine(w.target, w.call.request.ID)
+	if silent >= reportAfter {
+		w.call.relay.diagnose(w.target.first, w.call.request.ID)
+	}
 	return min(stallPoll, hard-silent)
 }
 
@@ -92,6 +98,9 @@
 const (
 	// probeTimeout bounds a question to a replica about its stalled requests.
 	probeTimeout = 250 * time.Millisecond
+	// checkTimeout bounds a connection that only shows that a replica lives; the round trip within a data centre is well
+	// below a millisecond.
+	checkTimeout = 100 * time.Millisecond
 	// probeInterval is the least time between two questions to one replica; its report is about 200 ms old.
 	probeInterval = 150 * time.Millisecond
 )
@@ -120,6 +129,17 @@
 	return true
 }
 
+// examine finds out in the background whether all replicas of a silent chain still accept connections.
+func (r *Relay) examine(t target, request string) {
+	if !r.checks.allow(t.first.Incarnation(), time.Now()) {
+		return
+	}
+	for _, p := range t.parts {
+		aboard := r.aboard.fingerprints(p.Replica.Incarnation())
+		r.jobs.Go(func() { r.check(p.Replica, request, aboard) })
+	}
+}
+
 // diagnose asks the first replica of a silent chain in the background which replica is at fault.
 func (r *Relay) diagnose(first *mangoreplica.Replica, request string) {
 	if !r.probes.allow(first.Incarnation(), time.Now()) {
@@ -154,7 +174,7 @@
 }
 
 func (r *Relay) check(replica *mangoreplica.Replica, request string, aboard []string) {
-	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(context.Background(), "tcp", replica.Address)
+	conn, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(context.Background(), "tcp", replica.Address)
 	if err == nil {
 		_ = conn.Close()
 		return
--- a/internal/mangotenure/tenure.go
+++ b/internal/mangotenure/tenure.go
@@ -86,7 +86,7 @@
 func New(store Store, key, owner string, lookup Lookup, opts ...Option) *Tenure {
 	t := &Tenure{
 		store: store, key: key, owner: owner, lookup: lookup, observe: func(bool, uint64, error) {},
-		alone: func() bool { return false },
+		alone:    func() bool { return false },
 		lifetime: 2 * time.Second, timeout: 500 * time.Millisecond,
 	}
 	for _, o := range opts {
