--- a/cmd/mangopath/relay.go
+++ b/cmd/mangopath/relay.go
@@ -47,8 +47,12 @@
 		return err
 	}
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
-	written := make(chan error, 1)
-	go func() { written <- lines.Run(writing) }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		// The writer ends with its context only.
+		_ = lines.Run(writing)
+	}()
 	defer func() {
 		stopWriting()
 		<-written
--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -73,7 +73,7 @@
 	}
 	patient := &patientConn{Conn: conn, patience: patience}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := exchange(patient, request)
+	response, err := exchange(patient, request) //nolint:bodyclose // Close ends the connection, which is all that the body has.
 	if err != nil {
 		stop()
 		_ = conn.Close()
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -115,6 +115,7 @@
 	}
 	run("state", func() error { return d.controller.Run(inner) })
 	run("news", func() error { return d.news.Run(inner) })
+	run("checks", func() error { return d.relay.Run(inner) })
 	run("poller", func() error { return d.poller.Run(duties) })
 	run("membership", func() error { return d.membership.Run(duties) })
 	run("placement", func() error { return d.placement.Run(duties) })
@@ -150,7 +151,6 @@
 	for range running {
 		<-ended
 	}
-	d.relay.Wait()
 	d.peers.Close()
 	d.logger.WithFields(logrus.Fields{"event": "stopped", "active": d.phase.active.Load()}).Info("the daemon stopped")
 	if errors.Is(failed, context.Canceled) {
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -68,7 +68,6 @@
 	suspects *mangosuspect.Suspects
 	observer Observer
 	logger   logrus.FieldLogger
-	name     string
 	local    string
 	random   func() float64
 	closing  func() bool
@@ -77,7 +76,8 @@
 	probes   *probes
 	checks   *probes
 	pace     pace
-	jobs     sync.WaitGroup
+	// tasks are checks of replicas that wait for Run.
+	tasks chan func(ctx context.Context)
 }
 
 // Option sets a property of a Relay.
@@ -113,6 +113,7 @@
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
 		closing: func() bool { return false }, closed: func() bool { return false }, aboard: newManifest(), probes: newProbes(), checks: newProbes(),
+		tasks: make(chan func(ctx context.Context), maxTasks),
 	}
 	for _, o := range opts {
 		o(r)
@@ -120,8 +121,31 @@
 	return r
 }
 
-// Wait returns when the goroutines that requests left behind have ended.
-func (r *Relay) Wait() { r.jobs.Wait() }
+// maxTasks bounds the checks of replicas that wait; a request that finds no room for one goes on without it.
+const maxTasks = 256
+
+// Run checks replicas for requests until the context ends.
+func (r *Relay) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case task := <-r.tasks:
+			running.Go(func() { task(ctx) })
+		}
+	}
+}
+
+// later leaves a check to Run. It never blocks.
+func (r *Relay) later(task func(ctx context.Context)) {
+	select {
+	case r.tasks <- task:
+	default:
+		r.logger.WithField("event", "check_dropped").Warn("too many replicas wait for a check")
+	}
+}
 
 // avoid notes an outage, tells the other daemons of a lost replica and logs the change of belief.
 func (r *Relay) avoid(replica *mangoreplica.Replica, cause mangoreplica.Cause, hold time.Duration, request string) {
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -136,7 +136,7 @@
 	}
 	for _, p := range t.parts {
 		aboard := r.aboard.fingerprints(p.Replica.Incarnation())
-		r.jobs.Go(func() { r.check(p.Replica, request, aboard) })
+		r.later(func(ctx context.Context) { r.check(ctx, p.Replica, request, aboard) })
 	}
 }
 
@@ -145,13 +145,13 @@
 	if !r.probes.allow(first.Incarnation(), time.Now()) {
 		return
 	}
-	r.jobs.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	r.later(func(ctx context.Context) {
+		asking, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		stalls, err := r.prober.Stalled(ctx, first)
+		stalls, err := r.prober.Stalled(asking, first)
 		if err != nil {
 			r.logger.WithField("replica", first.ID).WithField("request", request).WithError(err).Warn("a replica did not say what it waits for")
-			r.check(first, request, nil)
+			r.check(ctx, first, request, nil)
 			return
 		}
 		fleet := r.state.View().Fleet
@@ -170,15 +170,18 @@
 	if !r.probes.allow(replica.Incarnation(), time.Now()) {
 		return
 	}
-	r.jobs.Go(func() { r.check(replica, request, aboard) })
+	r.later(func(ctx context.Context) { r.check(ctx, replica, request, aboard) })
 }
 
-func (r *Relay) check(replica *mangoreplica.Replica, request string, aboard []string) {
-	conn, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(context.Background(), "tcp", replica.Address)
+func (r *Relay) check(ctx context.Context, replica *mangoreplica.Replica, request string, aboard []string) {
+	conn, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(ctx, "tcp", replica.Address)
 	if err == nil {
 		_ = conn.Close()
 		return
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	r.avoid(replica, mangoreplica.CauseReset, holdLost, request)
 	r.crashed(replica, aboard)
 }
--- a/internal/mangosetting/effective.go
+++ b/internal/mangosetting/effective.go
@@ -50,7 +50,8 @@
 	case mangomessage.Format_Size:
 		return formatSize(value.Int())
 	case mangomessage.Format_Text, mangomessage.Format_Address, mangomessage.Format_Addresses, mangomessage.Format_Name,
-		mangomessage.Format_File, mangomessage.Format_Number, mangomessage.Format_Flag, mangomessage.Format_Choice:
+		mangomessage.Format_File, mangomessage.Format_Number, mangomessage.Format_Flag, mangomessage.Format_Choice,
+		mangomessage.Format_Ratio:
 		return value.String()
 	default:
 		return value.String()
