--- a/internal/mangoentry/ingress.go
+++ b/internal/mangoentry/ingress.go
@@ -114,6 +114,15 @@
 func newServer(logger *logrus.Logger) *http.Server {
 	return &http.Server{
 		ReadHeaderTimeout: defaultLimits().HeaderTimeout,
-		ErrorLog:          log.New(logger.WriterLevel(logrus.DebugLevel), "", 0),
+		ErrorLog:          log.New(errorLog{logger}, "", 0),
 	}
 }
+
+// errorLog passes the lines of the HTTP library on; most are about callers that have left.
+type errorLog struct{ logger *logrus.Logger }
+
+// Write implements io.Writer.
+func (e errorLog) Write(line []byte) (int, error) {
+	e.logger.WithField("event", "http_library").Debug(string(line))
+	return len(line), nil
+}
