--- a/cmd/mangopath/app.go
+++ b/cmd/mangopath/app.go
@@ -61,7 +61,7 @@
 			&cli.StringFlag{Name: "output", Value: "text", Usage: "`FORMAT` of results: text or json"},
 		},
 		Commands: []*cli.Command{
-			serveCommand(), relayCommand(), checkCommand(), profileCommand(), hostCommand(), statusCommand(), explainCommand(), versionCommand(),
+			serveCommand(), checkCommand(), profileCommand(), hostCommand(), statusCommand(), explainCommand(), relayCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/cmd/mangopath/page_test.go
+++ b/cmd/mangopath/page_test.go
@@ -17,7 +17,7 @@
 	flags := serveBook(t, book)
 	t.Chdir("../..")
 	for _, page := range []string{
-		"README.md", "docs/operations.md", "examples/baasje-gezocht/README.md", "examples/isartal/README.md",
+		"README.md", "docs/OPERATIONS.md", "examples/baasje-gezocht/README.md", "examples/isartal/README.md",
 	} {
 		is := is.New(t)
 		text, err := os.ReadFile(page)
--- a/internal/mangometric/doc.go
+++ b/internal/mangometric/doc.go
@@ -7,5 +7,5 @@
 //	metrics.CallDone("completion", "Answer", "", took)
 //	metrics.Confirmed(revision, time.Now())
 //
-// docs/operations.md says on which metrics to alarm.
+// docs/OPERATIONS.md says on which metrics to alarm.
 package mangometric
--- a/internal/mangometric/metrics_test.go
+++ b/internal/mangometric/metrics_test.go
@@ -67,7 +67,7 @@
 // Guards against metrics without advice on the operators' page.
 func TestOperationsPage(t *testing.T) {
 	is := is.New(t)
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	descriptions := make(chan *prometheus.Desc, 1)
 	for _, c := range newMetrics().collectors() {
@@ -77,3 +77,31 @@
 		is.True(strings.Contains(string(page), "| `"+name+"` |"))
 	}
 }
+
+// Guards against metrics of a relay without advice on the operators' page.
+func TestOperationsPageRelay(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	registry := prometheus.NewRegistry()
+	m, err := NewRelay(registry)
+	is.NoErr(err)
+	zero := func() float64 { return 0 }
+	is.NoErr(m.Watch(registry, Gauges{
+		Active: zero, Replicas: zero, Avoided: zero, Members: zero, Version: zero, StoreAge: zero, StoreUp: zero, HoldsLease: zero,
+		DroppedLines: zero, SuspectCrash: zero, CoveredCentre: zero,
+	}))
+	m.Request("r", "k", "o", 200, 0)
+	m.FirstEvent("r", 0)
+	m.Send("s", "r")
+	m.Retry("s", "r")
+	m.Order("r", "o")
+	m.Store("c", nil)
+	families, err := registry.Gather()
+	is.NoErr(err)
+	for _, f := range families {
+		if strings.HasPrefix(f.GetName(), "mangopath_") && !strings.Contains(string(page), "| `"+f.GetName()+"` |") {
+			t.Errorf("the page has no row for %s", f.GetName())
+		}
+	}
+}
--- /dev/null
+++ b/internal/mangopipeline/bench_test.go
@@ -0,0 +1,28 @@
+package mangopipeline
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+)
+
+// BenchmarkChoose measures a choice among the replicas of one model at the target size: 4,100 replicas, 28 models and 4
+// data centres, 80 layers.
+func BenchmarkChoose(b *testing.B) {
+	var replicas []*mangoreplica.Replica
+	for i := range 147 {
+		from := i / 4 * 6 % 80
+		replicas = append(replicas, replica(fmt.Sprint(i), fmt.Sprint(i%4), "b", from, min(from+8, 80)))
+	}
+	view := View{
+		Replicas: replicas, Engine: engine(80), Loads: mangoreplica.NewBoard(), Local: "0", Daemons: 410, Now: time.Now(),
+	}
+	for b.Loop() {
+		if _, err := Choose(view, Request{Tokens: 900, Random: rand.Float64}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
