Count the crashes of a lost data centre as one and leave it after a break

Each replica of the chain was reported as a crash of its own, so all streams aboard were held back as requests that crash replicas; and a repeated send could stay in the data centre that was being lost, as both penalties were equal. Unused settings and fields removed, the lease times follow the least time that the store grants.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -115,27 +115,33 @@
 func (s subscription) Changed() <-chan struct{} { return s.changed }
 
 func provideTenure(
-	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, poller *mangostate.Poller,
-	logger *logrus.Logger,
+	s *mangomessage.RelaySettings, self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller,
+	poller *mangostate.Poller, logger *logrus.Logger,
 ) placementTenure {
 	owner := self.Name + "/" + string(b)
 	return placementTenure{mangotenure.New(
-		store, mangostate.PlacementKey, owner, subscription{state, state.Subscribe()}, mangotenure.WithLifetime(placementLease),
+		store, mangostate.PlacementKey, owner, subscription{state, state.Subscribe()}, mangotenure.WithLifetime(leaseTime(s, placementLease)),
 		mangotenure.WithTimeout(storeCallTimeout), mangotenure.WithObserver(tenureObserver(logger, "placement")),
 		mangotenure.WithAlone(poller.Alone),
 	)}
 }
 
 func provideMembership(
-	self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller, logger *logrus.Logger,
+	s *mangomessage.RelaySettings, self mangostate.Member, b boot, store *platform.Store, state *mangostate.Controller,
+	logger *logrus.Logger,
 ) membership {
 	return membership{mangotenure.New(
 		store, mangostate.MemberKey(self.Name, string(b)), self.Address, subscription{state, state.Subscribe()},
-		mangotenure.WithLifetime(memberLease), mangotenure.WithTimeout(storeCallTimeout),
+		mangotenure.WithLifetime(leaseTime(s, memberLease)), mangotenure.WithTimeout(storeCallTimeout),
 		mangotenure.WithObserver(tenureObserver(logger, "membership")),
 	)}
 }
 
+// leaseTime returns a lifetime that the store grants.
+func leaseTime(s *mangomessage.RelaySettings, wanted time.Duration) time.Duration {
+	return max(wanted, milliseconds(s.GetStore().GetMinLeaseTime()))
+}
+
 func tenureObserver(logger *logrus.Logger, duty string) mangotenure.Observer {
 	return func(holds bool, fence uint64, err error) {
 		entry := logger.WithFields(logrus.Fields{"duty": duty, "fence": fence})
--- a/internal/mangolog/writer_test.go
+++ b/internal/mangolog/writer_test.go
@@ -69,7 +69,8 @@
 	is.NoErr(err)
 	cancel()
 	select {
-	case <-ended:
+	case err := <-ended:
+		is.Equal(err, context.Canceled)
 	case <-time.After(5 * time.Second):
 		t.Fatal("the writer does not end")
 	}
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangopeer"
@@ -256,17 +255,12 @@
 	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}}, nil
 }
 
-// errNotServed answers calls that belong to daemons with a book of profiles.
-func errNotServed(op string) error {
-	return errors.Errorf("mangonews: %s is not served by this daemon", op)
-}
-
-// Fetch implements mangopeer.Handler.
+// Fetch implements mangopeer.Handler; books of profiles are not kept here.
 func (n *News) Fetch(context.Context, *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
-	return nil, errNotServed("Fetch")
+	return nil, &Error{Op: "Fetch", Kind: KindNotServed}
 }
 
-// Status implements mangopeer.Handler.
+// Status implements mangopeer.Handler; records of calls are not kept here.
 func (n *News) Status(context.Context, *mangomessage.StatusRequest) (*mangomessage.StatusReply, error) {
-	return nil, errNotServed("Status")
+	return nil, &Error{Op: "Status", Kind: KindNotServed}
 }
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -29,8 +29,9 @@
 	stallSigns = 1500 * time.Millisecond
 	// fullPressure is the estimated share of memory in use from which a refusal means that there is no room.
 	fullPressure = 0.6
-	// retryPenalty sends a repeated request to another data centre unless that is much busier.
-	retryPenalty = 30 * time.Millisecond
+	// retryPenalty sends a repeated request to another data centre if there is any with room: a loss of one part is often
+	// the start of the loss of all of them.
+	retryPenalty = 150 * time.Millisecond
 )
 
 // try sends the request to a target once and passes the answer on.
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -186,10 +186,12 @@
 	r.crashed(replica, aboard)
 }
 
-// crashed tells what was aboard a replica that crashed.
+// crashed tells what was aboard a replica that crashed. Crashes in one data centre at about the same time count as one: a
+// request passes through many replicas there, and all of them are lost together with their power or their network, while a
+// request that crashes replicas is sent to another data centre next.
 func (r *Relay) crashed(replica *mangoreplica.Replica, aboard []string) {
 	if len(aboard) > 0 {
-		r.suspects.Report(mangosuspect.NewCrashID(replica.ID), aboard, time.Now())
+		r.suspects.Report(mangosuspect.NewCrashID(replica.DataCentre+"/"+replica.Service), aboard, time.Now())
 		r.herald.Crashed()
 	}
 }
--- a/internal/mangoreplica/replica.go
+++ b/internal/mangoreplica/replica.go
@@ -27,8 +27,6 @@
 	Layers Range
 	// Born is the start of the process in Unix milliseconds; it tells starts under one id apart.
 	Born int64
-	// WarmupMS is the time for which it is still slow, as of its last entry.
-	WarmupMS int64
 }
 
 // Incarnation identifies one start of a replica.
--- a/internal/mangoroute/service.go
+++ b/internal/mangoroute/service.go
@@ -2,10 +2,7 @@
 
 // Service is a group of replicas that serve the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections to one replica from all callers.
-	MaxConnections int
+	Name string
 	// Engine describes the model; nil for plain services.
 	Engine *Engine
 }
@@ -24,8 +21,7 @@
 	LoadSeconds float64
 	// LoadsAtOnce is the number of loads that do not slow each other down.
 	LoadsAtOnce int
-	// PromptTokens and AnswerTokens are the means of a request.
-	PromptTokens float64
+	// AnswerTokens is the mean length of an answer.
 	AnswerTokens float64
 	Accelerators map[string]Accelerator
 }
@@ -36,8 +32,6 @@
 	MemoryMB float64
 	// StepFactor is the time of a decode step relative to the reference accelerator.
 	StepFactor float64
-	// ReadFactor is the time to read a prompt relative to the reference accelerator.
-	ReadFactor float64
 }
 
 // MaxLayers returns the number of layers that leave room for tokens of requests on an accelerator.
--- a/internal/mangosetting/page_test.go
+++ b/internal/mangosetting/page_test.go
@@ -87,7 +87,7 @@
 			is.Equal(err == nil, tt.fault == "")
 			if tt.fault == "" {
 				is.Equal(s.GetRetry().GetRatio(), 0.2)
-				is.Equal(s.GetBounds().GetStallTime(), int64(2500))
+				is.Equal(s.GetBounds().GetGracePeriod(), int64(8000))
 				return
 			}
 			if !strings.Contains(err.Error(), tt.fault) {
--- a/internal/mangostate/bench_test.go
+++ b/internal/mangostate/bench_test.go
@@ -16,7 +16,7 @@
 	b.ResetTimer()
 	for i := 0; b.Loop(); i++ {
 		r := replica("7", 0, 8)
-		r.WarmupMS = int64(i + 1)
+		r.Slots = i + 1
 		s.fold(answer{changes: []Change{{Replica: r}}}, at(0))
 		_ = s.view()
 	}
