Refuse all requests in the last second of a stop

Change: from 1.2 s before the end of a stop no request of any kind is begun; the caller is told to come back at once.

--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -31,7 +31,9 @@
 	rotationTime = 2300 * time.Millisecond
 	// stopMargin is kept of the grace period for the end of the process.
 	stopMargin = 700 * time.Millisecond
-	stopStep   = 50 * time.Millisecond
+	// lastRequest is the time before the end from which no request is begun; plain requests take well below it.
+	lastRequest = 1200 * time.Millisecond
+	stopStep    = 50 * time.Millisecond
 	// memoryShare is the share of the memory at which the garbage collector works harder.
 	memoryShare = 0.8
 )
@@ -133,7 +135,8 @@
 	for failed == nil {
 		select {
 		case <-stopping:
-			d.phase.begin(time.Now().Add(rotationTime))
+			limit := d.drainLimit()
+			d.phase.begin(time.Now().Add(min(rotationTime, limit)), time.Now().Add(limit-lastRequest))
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.phase.active.Load()}).Info("the daemon stops")
 			resign()
 			d.drain()
@@ -162,7 +165,7 @@
 // drain waits until the load balancer sends no more callers and all requests are answered, within the grace period.
 func (d *Daemon) drain() {
 	begun := time.Now()
-	limit := milliseconds(d.settings.GetBounds().GetGracePeriod()) - stopMargin
+	limit := d.drainLimit()
 	for time.Since(begun) < limit {
 		if time.Since(begun) >= min(rotationTime, limit) && d.phase.active.Load() == 0 {
 			return
@@ -171,6 +174,11 @@
 	}
 }
 
+// drainLimit is the longest time from the signal to stop to the end.
+func (d *Daemon) drainLimit() time.Duration {
+	return milliseconds(d.settings.GetBounds().GetGracePeriod()) - stopMargin
+}
+
 // ready reports whether the load balancer may send callers: the configuration and the replicas are known.
 func (d *Daemon) ready() bool {
 	v := d.controller.View()
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -124,7 +124,7 @@
 			return false
 		}
 	}
-	if route.Kind == mangoroute.Stream && c.relay.closed() {
+	if c.relay.closed(route.Kind == mangoroute.Stream) {
 		c.refuse("Stopping", http.StatusServiceUnavailable, retryStopping)
 		return false
 	}
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -71,7 +71,7 @@
 	local    string
 	random   func() float64
 	closing  func() bool
-	closed   func() bool
+	closed   func(stream bool) bool
 	aboard   *manifest
 	probes   *probes
 	checks   *probes
@@ -101,8 +101,8 @@
 // WithClosing sets the function that says whether connections of callers are to end with their answers.
 func WithClosing(f func() bool) Option { return func(r *Relay) { r.closing = f } }
 
-// WithClosed sets the function that says whether no more streams are begun.
-func WithClosed(f func() bool) Option { return func(r *Relay) { r.closed = f } }
+// WithClosed sets the function that says whether no more streams, or no more requests of other kinds, are begun.
+func WithClosed(f func(stream bool) bool) Option { return func(r *Relay) { r.closed = f } }
 
 // New returns a relay of a daemon in a data centre.
 func New(
@@ -112,7 +112,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		closing: func() bool { return false }, closed: func() bool { return false }, aboard: newManifest(), probes: newProbes(), checks: newProbes(),
+		closing: func() bool { return false }, closed: func(bool) bool { return false }, aboard: newManifest(), probes: newProbes(), checks: newProbes(),
 		tasks: make(chan func(ctx context.Context), maxTasks),
 	}
 	for _, o := range opts {
