--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -274,7 +274,7 @@
 			return t, ok
 		}
 		if len(c.exclude) > 0 {
-			// The ones that failed are better than none, unless they have just been tried and nothing else is there.
+			// All others have just been tried for this request; waiting would only hold its refusal back.
 			return t, false
 		}
 		timer := time.NewTimer(emptyStep)
