Follow the store's revision also while it counts as lost

Cause: a watch that went silent together with the store can hang for its whole wait of 11.5 s. Until it ended the daemon took the store for lost, ignored the revisions that other daemons told it, and these messages kept its poller from asking the store itself. It so missed a configuration for 3.3 s and a draining replica for 2.4 s.

Change: a revision ahead of the view restarts the watch in any case, and a daemon that counts the store as lost asks for itself.

--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -160,12 +160,14 @@
 				c.publish()
 			}
 		case revision := <-c.shown:
-			if c.state.reachable && revision > c.state.revision && awaited <= c.state.revision {
+			// A store that counts as lost is no reason to ignore its revision: the watch may have gone silent with it and
+			// would miss its return.
+			if revision > c.state.revision && awaited <= c.state.revision {
 				awaited = revision
 				deaf.Reset(deafAfter)
 			}
 		case <-deaf.C:
-			if c.state.reachable && awaited > c.state.revision {
+			if awaited > c.state.revision {
 				c.reread(awaited)
 			}
 			awaited = 0
--- a/internal/mangostate/poller.go
+++ b/internal/mangostate/poller.go
@@ -44,6 +44,10 @@
 func (p *Poller) Heard(revision uint64) {
 	p.heard.Store(int64(time.Since(p.start)))
 	p.controller.Shown(revision)
+	if !p.controller.View().Reachable {
+		// Another daemon's answer does not tell whether this one reaches the store again.
+		return
+	}
 	select {
 	case p.confirmed <- struct{}{}:
 	default:
