Notice the end of a replica's process by an idle connection

Cause: a stream sees nothing but silence when a later part of its chain ends.

Change: two daemons, chosen by a hash, keep an idle connection to each replica of a split model. When it ends and the address refuses a new one, the requests aboard are woken and leave the chain, and the other daemons are told, check the replica themselves and wake theirs. News also goes to daemons that are no longer announced in the store but sent news in the last 15 s. The log of a send gains first_ms and silent_ms.

--- a/internal/mangoconn/doc.go
+++ b/internal/mangoconn/doc.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	dialer := mangoconn.New()
-//	response, err := dialer.Exchange(ctx, address, request, connectTimeout, patience)
+//	response, err := dialer.Exchange(ctx, address, request, connectTimeout, mangoconn.NewWait(patience))
 //	defer response.Close()
 //
 // The transport of net/http repeats requests on its own and does not tell whether bytes were written. Here an error of
--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -46,9 +46,6 @@
 	}}
 }
 
-// Patience decides how long to wait for more bytes after a time of silence; 0 or less gives up.
-type Patience func(silent time.Duration) time.Duration
-
 // Response is an answer whose body has not been read.
 type Response struct {
 	*http.Response
@@ -63,15 +60,15 @@
 }
 
 // Exchange sends a request and reads the head of the answer. All errors are of type *Error. The end of the context closes
-// the connection, also while the body is read. Patience is asked before each wait for bytes.
+// the connection, also while the body is read. The wait is asked before each wait for bytes.
 func (d *Dialer) Exchange(
-	ctx context.Context, address string, request *http.Request, connect time.Duration, patience Patience,
+	ctx context.Context, address string, request *http.Request, connect time.Duration, wait *Wait,
 ) (*Response, error) {
 	conn, err := d.connect(ctx, address, connect)
 	if err != nil {
 		return nil, err
 	}
-	patient := &patientConn{Conn: conn, patience: patience}
+	patient := &patientConn{Conn: conn, wait: wait}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response, err := exchange(patient, request) //nolint:bodyclose // Close ends the connection, which is all that the body has.
 	if err != nil {
@@ -122,33 +119,6 @@
 	}
 }
 
-// patientConn waits for bytes as long as its patience lasts. A time-out inside one read keeps the decoders above it
-// intact, which take an error for the end of the answer.
-type patientConn struct {
-	net.Conn
-	patience Patience
-}
-
-// Read implements net.Conn.
-func (c *patientConn) Read(p []byte) (int, error) {
-	began := time.Now()
-	silent := time.Duration(0)
-	for {
-		more := c.patience(silent)
-		if more <= 0 {
-			return 0, os.ErrDeadlineExceeded
-		}
-		if err := c.SetReadDeadline(time.Now().Add(more)); err != nil {
-			return 0, err
-		}
-		n, err := c.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
-		}
-		silent = time.Since(began)
-	}
-}
-
 // classify tells what is known of a request that was sent.
 func classify(ctx context.Context, err error) error {
 	var timeout net.Error
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -13,6 +13,7 @@
 
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangolog"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangonews"
@@ -51,6 +52,7 @@
 	relay      *mangorelay.Relay
 	news       *mangonews.News
 	poller     *mangostate.Poller
+	monitor    *mangoliveness.Monitor
 	peers      *mangopeer.Client
 	placement  placementTenure
 	membership membership
@@ -64,12 +66,12 @@
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, lines *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, board *mangoreplica.Board, budget *mangobudget.Budget, suspects *mangosuspect.Suspects,
-	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, peers *mangopeer.Client, placement placementTenure, membership membership,
+	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, monitor *mangoliveness.Monitor, peers *mangopeer.Client, placement placementTenure, membership membership,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.Relay, registry *prometheus.Registry, phase *phase,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, lines: lines, self: self, controller: controller, board: board, budget: budget,
-		suspects: suspects, relay: relay, news: news, poller: poller, peers: peers, placement: placement, membership: membership, placer: placer,
+		suspects: suspects, relay: relay, news: news, poller: poller, monitor: monitor, peers: peers, placement: placement, membership: membership, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, phase: phase,
 	}
 }
@@ -118,6 +120,7 @@
 	run("state", func() error { return d.controller.Run(inner) })
 	run("news", func() error { return d.news.Run(inner) })
 	run("checks", func() error { return d.relay.Run(inner) })
+	run("monitor", func() error { return d.monitor.Run(inner) })
 	run("poller", func() error { return d.poller.Run(duties) })
 	run("membership", func() error { return d.membership.Run(duties) })
 	run("placement", func() error { return d.placement.Run(duties) })
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -10,6 +10,7 @@
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangonews"
 	"mangopath.org/mangopath/internal/mangopeer"
@@ -99,6 +100,14 @@
 	)
 }
 
+// provideMonitor is also where news of lost replicas meet the relay, which checks them.
+func provideMonitor(
+	self mangostate.Member, state *mangostate.Controller, relay *mangorelay.Relay, news *mangonews.News, logger *logrus.Logger,
+) *mangoliveness.Monitor {
+	news.Verify(relay.Suspect)
+	return mangoliveness.New(self, state, state.Subscribe(), relay.Suspect, mangoliveness.WithLogger(logger))
+}
+
 // placementTenure is the right to give orders to engines.
 type placementTenure struct{ *mangotenure.Tenure }
 
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -23,6 +23,9 @@
 	maxHeard = 1500 * time.Millisecond
 	// maxWaiting bounds the outages that wait to be told.
 	maxWaiting = 1024
+	// heardAge is the time for which a daemon that sent news is told news even if it is not announced in the store, which may
+	// turn it away for as long as that.
+	heardAge = 15 * time.Second
 	// repeatUnreached is the pause before daemons that did not answer are told again.
 	repeatUnreached = time.Second
 )
@@ -48,6 +51,7 @@
 	wake     chan struct{}
 	heard    func(revision uint64)
 	see      func(s mangoreplica.Sighting)
+	suspect  func(r *mangoreplica.Replica)
 
 	mu        sync.Mutex
 	waiting   []mangoreplica.Outage
@@ -58,6 +62,14 @@
 	told map[string]uint64
 	// unreached has the daemons that did not answer last time.
 	unreached map[string]bool
+	// senders has the daemons that sent news, with the time of the last one.
+	senders map[string]sender
+}
+
+// sender is a daemon that sent news.
+type sender struct {
+	member mangostate.Member
+	at     time.Time
 }
 
 var _ mangopeer.Handler = (*News)(nil)
@@ -74,14 +86,18 @@
 	n.heard, n.see = heard, see
 }
 
+// Verify sets the function that checks replicas that other daemons found lost. It must be called before Run, and the
+// function must not block.
+func (n *News) Verify(suspect func(r *mangoreplica.Replica)) { n.suspect = suspect }
+
 // New returns News of a daemon.
 func New(
 	self mangostate.Member, client Exchanger, state State, board *mangoreplica.Board, suspects *mangosuspect.Suspects, opts ...Option,
 ) *News {
 	n := &News{
 		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
-		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{}, heard: func(uint64) {},
-		see: func(mangoreplica.Sighting) {},
+		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{}, senders: map[string]sender{}, heard: func(uint64) {},
+		see: func(mangoreplica.Sighting) {}, suspect: func(*mangoreplica.Replica) {},
 	}
 	for _, o := range opts {
 		o(n)
@@ -157,15 +173,45 @@
 	now := time.Now()
 	news := n.take(now)
 	var group sync.WaitGroup
-	for _, m := range n.state.View().Members {
-		if m.Name == n.self.Name {
-			continue
-		}
+	for _, m := range n.peers(now) {
 		group.Go(func() { n.tell(ctx, m, news, now) })
 	}
 	group.Wait()
 }
 
+// peers returns the other daemons: those that are announced in the store, and those that sent news a short while ago.
+func (n *News) peers(now time.Time) []mangostate.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := map[string]bool{n.self.Name: true}
+	var peers []mangostate.Member
+	for _, m := range n.state.View().Members {
+		if !known[m.Name] {
+			known[m.Name] = true
+			peers = append(peers, m)
+		}
+	}
+	for name, s := range n.senders {
+		switch {
+		case now.Sub(s.at) > heardAge:
+			delete(n.senders, name)
+		case !known[name]:
+			peers = append(peers, s.member)
+		}
+	}
+	return peers
+}
+
+// note remembers a daemon that sent news.
+func (n *News) note(from *mangomessage.Member, now time.Time) {
+	if from.GetName() == "" || from.GetAddress() == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.senders[from.GetName()] = sender{member: mangostate.Member{Name: from.GetName(), Address: from.GetAddress()}, at: now}
+}
+
 // take returns what waits to be told.
 func (n *News) take(now time.Time) *mangomessage.ExchangeRequest {
 	n.mu.Lock()
@@ -228,6 +274,7 @@
 // Exchange implements mangopeer.Handler.
 func (n *News) Exchange(_ context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
 	now := time.Now()
+	n.note(request.GetFrom(), now)
 	if request.GetRevision() > 0 {
 		n.heard(request.GetRevision())
 	}
@@ -250,6 +297,7 @@
 				"event": "replica_avoided", "replica": r.ID, "address": r.Address, "cause": o.GetCause(),
 				"peer": request.GetFrom().GetName(), "age_ms": o.GetAgeMs(), "hold_ms": min(left, maxHeard).Milliseconds(),
 			}).Warn("another daemon found a replica lost")
+			n.suspect(r)
 		}
 	}
 	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}}, nil
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -70,9 +70,12 @@
 	// lastEvent is the time at which events were last passed on, and longestGap the longest pause between them.
 	lastEvent  time.Time
 	longestGap time.Duration
-	events     eventBuffer
-	status     int
-	outcome    string
+	// sendBegan is the time of the last send, and sendFirst the time from then to its first event.
+	sendBegan time.Time
+	sendFirst time.Duration
+	events    eventBuffer
+	status    int
+	outcome   string
 	// answered is the status of the last answer of an upstream, and fault the replica that a refusal named.
 	answered int
 	fault    string
@@ -334,7 +337,7 @@
 		"chain": t.String(), "data_centre": t.dataCentre, "cost_us": t.cost.Microseconds(), "pressure": t.pressure,
 		"result": result.String(), "since_ms": time.Since(c.request.Arrived).Milliseconds(), "last_event": c.events.last,
 		"budget_left": int(c.relay.budget.Left(c.serviceName, time.Now())), "revision": c.view.Revision,
-		"answered": c.answered, "fault": c.fault,
+		"answered": c.answered, "fault": c.fault, "first_ms": c.sendFirst.Milliseconds(), "silent_ms": c.silence().Milliseconds(),
 	})
 	if result == delivered {
 		entry.Info("a request was sent")
@@ -343,6 +346,14 @@
 	entry.Warn("a send gave no final answer")
 }
 
+// silence returns the time since the last event, or since the last send if that came later.
+func (c *call) silence() time.Duration {
+	if c.lastEvent.Before(c.sendBegan) {
+		return time.Since(c.sendBegan)
+	}
+	return time.Since(c.lastEvent)
+}
+
 // finish logs and counts the end of a request.
 func (c *call) finish(whole bool) {
 	took := time.Since(c.request.Arrived)
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -19,7 +19,7 @@
 // Exchanger sends a request to an upstream.
 type Exchanger interface {
 	Exchange(
-		ctx context.Context, address string, request *http.Request, connect time.Duration, patience mangoconn.Patience,
+		ctx context.Context, address string, request *http.Request, connect time.Duration, wait *mangoconn.Wait,
 	) (*mangoconn.Response, error)
 }
 
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -65,6 +65,9 @@
 		c.longestGap = max(c.longestGap, time.Since(c.lastEvent))
 	}
 	c.lastEvent = time.Now()
+	if c.sendFirst == 0 {
+		c.sendFirst = c.lastEvent.Sub(c.sendBegan)
+	}
 	if _, err := c.writer.Write(events); err != nil {
 		return err
 	}
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -41,10 +41,15 @@
 		c.relay.logger.WithField("request", c.request.ID).WithError(err).Error("a request cannot be encoded")
 		return lost
 	}
-	defer c.occupy(t)()
 	began := time.Now()
 	w := &watch{call: c, target: t}
-	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, w.wait)
+	wait := mangoconn.NewWait(w.wait)
+	defer c.occupy(t, func() {
+		w.woken.Store(true)
+		wait.Wake()
+	})()
+	c.sendBegan, c.sendFirst = began, 0
+	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, wait)
 	if err != nil {
 		return c.broken(outer, inner, t, err)
 	}
@@ -91,21 +96,22 @@
 	return s
 }
 
-// occupy counts the request on the replicas of a target until the returned function is called.
-func (c *call) occupy(t target) func() {
+// occupy counts the request on the replicas of a target until the returned function is called; wake is called when one of
+// them is found lost meanwhile.
+func (c *call) occupy(t target, wake func()) func() {
 	tokens := 0.0
 	if len(t.parts) > 0 {
 		tokens = c.tokens()
 	}
 	release := c.relay.board.Begin(tokens, t.ids...)
-	leave := []func(){release, c.relay.aboard.board(t.first.Incarnation(), c.fingerprint)}
+	replicas := []mangoreplica.Incarnation{t.first.Incarnation()}
 	for _, p := range t.parts[min(1, len(t.parts)):] {
-		leave = append(leave, c.relay.aboard.board(p.Replica.Incarnation(), c.fingerprint))
+		replicas = append(replicas, p.Replica.Incarnation())
 	}
+	leave := c.relay.aboard.board(&sent{fingerprint: c.fingerprint, wake: wake}, replicas)
 	return func() {
-		for _, f := range leave {
-			f()
-		}
+		release()
+		leave()
 	}
 }
 
@@ -130,11 +136,7 @@
 	c.penalty[t.dataCentre] += retryPenalty
 	switch kind {
 	case mangoconn.KindUnsent:
-		cause := mangoreplica.CauseUnreachable
-		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-			cause = mangoreplica.CauseReset
-		}
-		c.relay.avoid(t.first, cause, holdLost, c.request.ID)
+		c.relay.avoid(t.first, causeOf(err), holdLost, c.request.ID)
 		return unsent
 	case mangoconn.KindBroken:
 		c.relay.verify(t.first, c.request.ID, c.relay.aboard.fingerprints(t.first.Incarnation()))
@@ -148,6 +150,18 @@
 	return lost
 }
 
+// causeOf returns what a failed connection says about a replica.
+func causeOf(err error) mangoreplica.Cause {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return mangoreplica.CauseEnded
+	case errors.Is(err, syscall.ECONNRESET):
+		return mangoreplica.CauseReset
+	default:
+		return mangoreplica.CauseUnreachable
+	}
+}
+
 // refusedBy decides what a refusal says about the replica that it names.
 func (c *call) refusedBy(t target, a Answer, took time.Duration) result {
 	fault := t.first
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -39,6 +39,8 @@
 type watch struct {
 	call   *call
 	target target
+	// woken says that a replica of the target was found lost since the send.
+	woken atomic.Bool
 }
 
 // wait implements mangoconn.Patience.
@@ -47,11 +49,14 @@
 	switch {
 	case silent >= hard:
 		return 0
+	case w.woken.Load() && w.partLost(func(c mangoreplica.Cause) bool { return c == mangoreplica.CauseEnded }):
+		// No event can come through a process that has ended.
+		return 0
 	case silent < soft:
 		return min(soft, hard) - silent
 	case len(w.target.parts) == 0:
 		return hard - silent
-	case w.partLost():
+	case w.partLost(mangoreplica.Cause.Lost):
 		return 0
 	}
 	w.call.relay.examine(w.target, w.call.request.ID)
@@ -81,14 +86,14 @@
 	}
 }
 
-// partLost reports whether a replica of the chain is known to be lost.
-func (w *watch) partLost() bool {
+// partLost reports whether a replica of the chain is avoided for a cause of some kind.
+func (w *watch) partLost(kind func(mangoreplica.Cause) bool) bool {
 	outages := w.call.relay.board.Outages(time.Now())
 	if len(outages) == 0 {
 		return false
 	}
 	for _, p := range w.target.parts {
-		if o, ok := outages[p.Replica.Incarnation()]; ok && o.Cause.Lost() {
+		if o, ok := outages[p.Replica.Incarnation()]; ok && kind(o.Cause) {
 			return true
 		}
 	}
@@ -182,8 +187,14 @@
 	if ctx.Err() != nil {
 		return
 	}
-	r.avoid(replica, mangoreplica.CauseReset, holdLost, request)
+	r.avoid(replica, causeOf(err), holdLost, request)
 	r.crashed(replica, aboard)
+	r.aboard.wake(replica.Incarnation())
+}
+
+// Suspect checks in the background a replica that another part of this daemon or another daemon found lost. It never blocks.
+func (r *Relay) Suspect(replica *mangoreplica.Replica) {
+	r.verify(replica, "", r.aboard.fingerprints(replica.Incarnation()))
 }
 
 // crashed tells what was aboard a replica that crashed. Crashes in one data centre at about the same time count as one: a
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -11,8 +11,10 @@
 const (
 	// CauseUnreachable means that no connection was made in time.
 	CauseUnreachable Cause = "Unreachable"
-	// CauseReset means that a connection was refused or broke.
+	// CauseReset means that a connection broke.
 	CauseReset Cause = "Reset"
+	// CauseEnded means that nothing listens at the replica's address, so its process has ended.
+	CauseEnded Cause = "Ended"
 	// CauseStalled means that another replica waits for this one.
 	CauseStalled Cause = "Stalled"
 	// CauseSilent means that a request got no answer in time.
@@ -27,7 +29,7 @@
 
 // Lost reports whether the cause suggests that the replica no longer runs.
 func (c Cause) Lost() bool {
-	return c == CauseUnreachable || c == CauseReset || c == CauseStalled
+	return c == CauseUnreachable || c == CauseReset || c == CauseEnded || c == CauseStalled
 }
 
 // Outage is a replica that is avoided until a time.
--- a/internal/mangostate/outage_test.go
+++ b/internal/mangostate/outage_test.go
@@ -85,8 +85,8 @@
 			}
 			is.Equal(store.asked.Load() > 0, tt.want)
 			cancel()
-			<-ended
-			<-ended
+			is.True(errors.Is(<-ended, context.Canceled))
+			is.True(errors.Is(<-ended, context.Canceled))
 		})
 	}
 }
