Ask replicas that refuse for no known reason whether they are leaving

Cause: while the store was away a leaving replica refused all requests with 503, but its entry could not say so.

Change: the health path of the service tells a leaving replica from a full one; a leaving one is avoided for 3 s, the other daemons are told, the placement fills its layers, and it is no last resort, nor is one whose process has ended. Refusals in a row without an answer in between double the time of avoidance from 0.4 s to 3.2 s. A stronger cause replaces a weaker one and is told.

--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -243,7 +243,7 @@
 	loading := 0
 	for _, r := range replicas {
 		i := r.Incarnation()
-		if o, ok := outages[i]; r.Draining || (ok && o.Cause.Lost()) {
+		if o, ok := outages[i]; r.Draining || (ok && (o.Cause.Lost() || o.Cause == mangoreplica.CauseLeaving)) {
 			continue
 		}
 		s := Holding{Replica: r, Layers: r.Layers, Settled: true}
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -39,6 +39,8 @@
 // Loads tells what is known about a replica beyond its entry.
 type Loads interface {
 	Avoided(r mangoreplica.Incarnation, now time.Time) bool
+	// Out reports whether a request through the replica is sure to fail.
+	Out(r mangoreplica.Incarnation, now time.Time) bool
 	InFlight(id string) (requests int, tokens float64)
 }
 
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -86,7 +86,7 @@
 		}
 		factor := 1.0
 		if view.Loads.Avoided(r.Incarnation(), view.Now) {
-			if !avoided {
+			if !avoided || view.Loads.Out(r.Incarnation(), view.Now) {
 				continue
 			}
 			factor = avoidedFactor
--- a/internal/mangopipeline/choose_test.go
+++ b/internal/mangopipeline/choose_test.go
@@ -146,3 +146,29 @@
 	is.True(seen["near"] > seen["far"])
 	is.True(seen["far"] > 10)
 }
+
+// Guards against sends that are sure to be refused, each of which costs a retry, when no data centre is whole.
+func TestChooseLeavesOutLostReplicas(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause mangoreplica.Cause
+		want  bool
+	}{
+		{"faulty as the last resort", mangoreplica.CauseFaulty, true},
+		{"unreachable as the last resort", mangoreplica.CauseUnreachable, true},
+		{"ended", mangoreplica.CauseEnded, false},
+		{"leaving", mangoreplica.CauseLeaving, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			board, now := mangoreplica.NewBoard(), time.Unix(1000, 0)
+			only := replica("r", "x", "a", 0, 8)
+			board.Avoid(only.Incarnation(), tt.cause, time.Second, now)
+			_, err := Choose(View{
+				Replicas: []*mangoreplica.Replica{only}, Engine: engine(8), Loads: board, Local: "x", Daemons: 1, Now: now,
+			}, Request{Random: still})
+			is.Equal(err == nil, tt.want)
+		})
+	}
+}
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -31,8 +31,25 @@
 // Prober asks the first replica of a chain which replica a request waits for.
 type Prober interface {
 	Stalled(ctx context.Context, replica *mangoreplica.Replica) ([]Stall, error)
+	// Health asks a replica whether it takes requests; path is that of its service.
+	Health(ctx context.Context, replica *mangoreplica.Replica, path string) (Health, error)
 }
 
+// Health is what a replica says of itself.
+type Health int
+
+const (
+	// Serving replicas take requests.
+	Serving Health = iota
+	// Full replicas have no room for the question.
+	Full
+	// Leaving replicas take no new requests, because they stop or have failed.
+	Leaving
+)
+
+// String returns the name of a health as it appears in logs.
+func (h Health) String() string { return [...]string{"Serving", "Full", "Leaving"}[h] }
+
 // Stall is a request that waits for a replica that was lost.
 type Stall struct {
 	// Request is the caller's id of the attempt.
@@ -75,6 +92,7 @@
 	aboard   *manifest
 	probes   *probes
 	checks   *probes
+	health   *probes
 	pace     pace
 	// tasks are checks of replicas that wait for Run.
 	tasks chan func(ctx context.Context)
@@ -112,7 +130,8 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		closing: func() bool { return false }, closed: func(bool) bool { return false }, aboard: newManifest(), probes: newProbes(), checks: newProbes(),
+		closing: func() bool { return false }, closed: func(bool) bool { return false }, aboard: newManifest(), probes: newProbes(probeInterval),
+		checks: newProbes(probeInterval), health: newProbes(healthInterval),
 		tasks: make(chan func(ctx context.Context), maxTasks),
 	}
 	for _, o := range opts {
@@ -157,7 +176,7 @@
 		"event": "replica_avoided", "replica": replica.ID, "address": replica.Address, "cause": string(cause),
 		"hold_ms": hold.Milliseconds(), "request": request,
 	}).Warn("a replica gets no requests for a while")
-	if cause.Lost() {
+	if cause.Lost() || cause == mangoreplica.CauseLeaving {
 		r.herald.Announce(mangoreplica.Outage{Replica: replica.Incarnation(), Cause: cause, At: now, Until: now.Add(hold)})
 	}
 }
@@ -174,6 +193,10 @@
 
 func (noProber) Stalled(context.Context, *mangoreplica.Replica) ([]Stall, error) { return nil, nil }
 
+func (noProber) Health(context.Context, *mangoreplica.Replica, string) (Health, error) {
+	return Serving, nil
+}
+
 type noHerald struct{}
 
 func (noHerald) Announce(mangoreplica.Outage) {}
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -32,7 +32,7 @@
 				return c.interrupted(lost)
 			}
 			if len(whole) > 0 {
-				if failed := c.forward(a, whole); failed != nil {
+				if failed := c.forward(t, a, whole); failed != nil {
 					return gone
 				}
 			}
@@ -55,7 +55,7 @@
 	return r
 }
 
-func (c *call) forward(a Answer, events []byte) error {
+func (c *call) forward(t target, a Answer, events []byte) error {
 	if !c.started {
 		c.head(a, -1)
 		c.firstEvent = time.Since(c.request.Arrived)
@@ -67,6 +67,7 @@
 	c.lastEvent = time.Now()
 	if c.sendFirst == 0 {
 		c.sendFirst = c.lastEvent.Sub(c.sendBegan)
+		c.relay.board.Served(t.incarnations()...)
 	}
 	if _, err := c.writer.Write(events); err != nil {
 		return err
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -17,6 +17,18 @@
 	pressure   float64
 }
 
+// incarnations returns the replicas of a target.
+func (t target) incarnations() []mangoreplica.Incarnation {
+	if len(t.parts) == 0 {
+		return []mangoreplica.Incarnation{t.first.Incarnation()}
+	}
+	list := make([]mangoreplica.Incarnation, len(t.parts))
+	for i, p := range t.parts {
+		list[i] = p.Replica.Incarnation()
+	}
+	return list
+}
+
 const (
 	// remoteBusy is the share of slots in use that weighs as much as another data centre.
 	remoteBusy = 0.25
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -104,11 +104,7 @@
 		tokens = c.tokens()
 	}
 	release := c.relay.board.Begin(tokens, t.ids...)
-	replicas := []mangoreplica.Incarnation{t.first.Incarnation()}
-	for _, p := range t.parts[min(1, len(t.parts)):] {
-		replicas = append(replicas, p.Replica.Incarnation())
-	}
-	leave := c.relay.aboard.board(&sent{fingerprint: c.fingerprint, wake: wake}, replicas)
+	leave := c.relay.aboard.board(&sent{fingerprint: c.fingerprint, wake: wake}, t.incarnations())
 	return func() {
 		release()
 		leave()
@@ -178,8 +174,8 @@
 	case took >= stallSigns:
 		c.relay.avoid(fault, mangoreplica.CauseStalled, holdStalled, c.request.ID)
 	case t.pressure < fullPressure:
-		c.relay.avoid(fault, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
-		c.relay.verify(fault, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
+		c.relay.avoid(fault, mangoreplica.CauseFaulty, c.relay.board.Refused(fault.Incarnation(), time.Now()), c.request.ID)
+		c.relay.inquire(fault, c.service.HealthPath, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
 	default:
 		c.relay.verify(fault, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
 	}
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangosuspect"
@@ -108,21 +110,29 @@
 	checkTimeout = 100 * time.Millisecond
 	// probeInterval is the least time between two questions to one replica; its report is about 200 ms old.
 	probeInterval = 150 * time.Millisecond
+	// healthInterval is the least time between two questions to one replica whether it takes requests.
+	healthInterval = time.Second
+	// holdLeaving is the time for which a replica that says that it is leaving is avoided; it is asked again after it
+	// refuses another request.
+	holdLeaving = 3 * time.Second
 )
 
 // probes remembers when replicas were last asked.
 type probes struct {
-	mu   sync.Mutex
-	last map[mangoreplica.Incarnation]time.Time
+	mu       sync.Mutex
+	interval time.Duration
+	last     map[mangoreplica.Incarnation]time.Time
 }
 
-func newProbes() *probes { return &probes{last: map[mangoreplica.Incarnation]time.Time{}} }
+func newProbes(interval time.Duration) *probes {
+	return &probes{interval: interval, last: map[mangoreplica.Incarnation]time.Time{}}
+}
 
 // allow reports whether a replica may be asked now.
 func (p *probes) allow(r mangoreplica.Incarnation, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.last[r]) < probeInterval {
+	if now.Sub(p.last[r]) < p.interval {
 		return false
 	}
 	for k, at := range p.last {
@@ -178,6 +188,29 @@
 	r.later(func(ctx context.Context) { r.check(ctx, replica, request, aboard) })
 }
 
+// inquire asks a replica in the background whether it takes requests, after it refused one for no known reason. The entry
+// of a replica that leaves does not say so while the store is away.
+func (r *Relay) inquire(replica *mangoreplica.Replica, path, request string, aboard []string) {
+	if path == "" || !r.health.allow(replica.Incarnation(), time.Now()) {
+		return
+	}
+	r.later(func(ctx context.Context) {
+		asking, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		health, err := r.prober.Health(asking, replica, path)
+		entry := r.logger.WithFields(logrus.Fields{"event": "replica_asked", "replica": replica.ID, "address": replica.Address, "request": request})
+		if err != nil {
+			entry.WithError(err).Warn("a replica did not say whether it takes requests")
+			r.check(ctx, replica, request, aboard)
+			return
+		}
+		entry.WithField("health", health.String()).Info("a replica said whether it takes requests")
+		if health == Leaving {
+			r.avoid(replica, mangoreplica.CauseLeaving, holdLeaving, request)
+		}
+	})
+}
+
 func (r *Relay) check(ctx context.Context, replica *mangoreplica.Replica, request string, aboard []string) {
 	conn, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(ctx, "tcp", replica.Address)
 	if err == nil {
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -23,6 +23,8 @@
 	CauseFull Cause = "Full"
 	// CauseMoved means that another replica answered at the address or that layers were missing.
 	CauseMoved Cause = "Moved"
+	// CauseLeaving means that the replica says that it takes no new requests.
+	CauseLeaving Cause = "Leaving"
 	// CauseFaulty means that the replica's answer was a failure or no valid answer.
 	CauseFaulty Cause = "Faulty"
 )
@@ -32,6 +34,9 @@
 	return c == CauseUnreachable || c == CauseReset || c == CauseEnded || c == CauseStalled
 }
 
+// Certain reports whether a request through the replica is sure to fail while the cause holds.
+func (c Cause) Certain() bool { return c == CauseEnded || c == CauseLeaving }
+
 // Outage is a replica that is avoided until a time.
 type Outage struct {
 	Replica Incarnation
@@ -54,31 +59,74 @@
 type Board struct {
 	mu      sync.Mutex
 	outages map[Incarnation]Outage
-	loads   map[string]*load
+	// refusals has the number of refusals of a replica in a row, counted once in each time of avoidance.
+	refusals map[Incarnation]int
+	loads    map[string]*load
 }
 
 // NewBoard returns a board without observations.
 func NewBoard() *Board {
-	return &Board{outages: map[Incarnation]Outage{}, loads: map[string]*load{}}
+	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, loads: map[string]*load{}}
+}
+
+// weight orders causes by what they say: a replica is in trouble, is probably lost, or is sure to fail.
+func (c Cause) weight() int {
+	switch {
+	case c.Certain():
+		return 2
+	case c.Lost():
+		return 1
+	default:
+		return 0
+	}
 }
 
-// Avoid notes an outage; it reports whether the replica was not avoided before.
+// Avoid notes an outage; it reports whether the replica was not avoided before, or for a cause that says less.
 func (b *Board) Avoid(r Incarnation, cause Cause, hold time.Duration, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	o, known := b.outages[r]
 	fresh := !known || !o.Until.After(now)
-	if !fresh && o.Until.After(now.Add(hold)) && (o.Cause.Lost() || !cause.Lost()) {
+	if !fresh && o.Cause.weight() >= cause.weight() && o.Until.After(now.Add(hold)) {
 		return false
 	}
 	b.outages[r] = Outage{Replica: r, Cause: cause, At: now, Until: now.Add(hold)}
-	return fresh
+	return fresh || cause.weight() > o.Cause.weight()
+}
+
+const (
+	// refusedHold is the time for which a replica is avoided after the first of several refusals in a row; it doubles with
+	// each further one up to refusedMax.
+	refusedHold = 400 * time.Millisecond
+	refusedMax  = 3200 * time.Millisecond
+)
+
+// Refused notes a refusal without a known reason; it returns the time for which the replica is to be avoided.
+func (b *Board) Refused(r Incarnation, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.refusals[r]
+	if !b.outages[r].Until.After(now) {
+		n++
+		b.refusals[r] = n
+	}
+	return min(refusedHold<<max(min(n, 8)-1, 0), refusedMax)
+}
+
+// Served notes that replicas took part in an answer, so that earlier refusals no longer count.
+func (b *Board) Served(replicas ...Incarnation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range replicas {
+		delete(b.refusals, r)
+	}
 }
 
 // Clear removes the outage of a replica that answered; it reports whether there was one.
 func (b *Board) Clear(r Incarnation, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	delete(b.refusals, r)
 	o, ok := b.outages[r]
 	delete(b.outages, r)
 	return ok && o.Until.After(now)
@@ -91,6 +139,14 @@
 	return b.outages[r].Until.After(now)
 }
 
+// Out reports whether a request through a replica is sure to fail.
+func (b *Board) Out(r Incarnation, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.outages[r]
+	return o.Until.After(now) && o.Cause.Certain()
+}
+
 // Outages returns the outages in force and forgets the others.
 func (b *Board) Outages(now time.Time) map[Incarnation]Outage {
 	b.mu.Lock()
@@ -173,7 +229,7 @@
 	return max(own, l.reported)
 }
 
-// Forget drops the loads of replicas that left the fleet.
+// Forget drops what is known of replicas that left the fleet.
 func (b *Board) Forget(fleet *Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -182,4 +238,9 @@
 			delete(b.loads, id)
 		}
 	}
+	for i := range b.refusals {
+		if r := fleet.ByID(i.ID); r == nil || r.Born != i.Born {
+			delete(b.refusals, i)
+		}
+	}
 }
--- /dev/null
+++ b/internal/mangoreplica/board_test.go
@@ -0,0 +1,77 @@
+package mangoreplica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against a replica that refuses all requests and is sent to again every 400 ms, each time with many requests at
+// once, and against long avoidance for refusals that came at the same time.
+func TestRefused(t *testing.T) {
+	type step struct {
+		at     int
+		served bool
+		want   time.Duration
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"several at the same time count once", []step{{0, false, 400 * time.Millisecond}, {10, false, 400 * time.Millisecond}, {20, false, 400 * time.Millisecond}}},
+		{"one after the other", []step{
+			{0, false, 400 * time.Millisecond},
+			{500, false, 800 * time.Millisecond},
+			{1400, false, 1600 * time.Millisecond},
+			{3100, false, 3200 * time.Millisecond},
+			{6400, false, 3200 * time.Millisecond},
+		}},
+		{"with an answer in between", []step{{0, false, 400 * time.Millisecond}, {500, true, 0}, {600, false, 400 * time.Millisecond}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, r := NewBoard(), Incarnation{ID: "r"}
+			for _, s := range tt.steps {
+				if s.served {
+					b.Served(r)
+					continue
+				}
+				hold := b.Refused(r, at(s.at))
+				is.Equal(hold, s.want)
+				b.Avoid(r, CauseFaulty, hold, at(s.at))
+			}
+		})
+	}
+}
+
+// Guards against a replica that is known to be lost and looks merely faulty, so that the other daemons are not told.
+func TestAvoid(t *testing.T) {
+	tests := []struct {
+		name        string
+		first, then Cause
+		news        bool
+		want        Cause
+	}{
+		{"the same again", CauseFaulty, CauseFaulty, false, CauseFaulty},
+		{"faulty, then unreachable", CauseFaulty, CauseUnreachable, true, CauseUnreachable},
+		{"faulty, then leaving", CauseFaulty, CauseLeaving, true, CauseLeaving},
+		{"unreachable, then ended", CauseUnreachable, CauseEnded, true, CauseEnded},
+		{"ended, then unreachable", CauseEnded, CauseUnreachable, false, CauseEnded},
+		{"leaving, then faulty", CauseLeaving, CauseFaulty, false, CauseLeaving},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b, r := NewBoard(), Incarnation{ID: "r"}
+			is.True(b.Avoid(r, tt.first, 2*time.Second, at(0)))
+			is.Equal(b.Avoid(r, tt.then, time.Second, at(100)), tt.news)
+			is.Equal(b.Outages(at(200))[r].Cause, tt.want)
+			is.True(b.Avoided(r, at(200)))
+			is.Equal(b.Out(r, at(200)), tt.want.Certain())
+		})
+	}
+}
--- a/internal/mangoroute/service.go
+++ b/internal/mangoroute/service.go
@@ -3,6 +3,8 @@
 // Service is a group of replicas that serve the same requests.
 type Service struct {
 	Name string
+	// HealthPath is the path at which replicas say whether they take requests.
+	HealthPath string
 	// Engine describes the model; nil for plain services.
 	Engine *Engine
 }
