Let begun streams wait for room as long as their callers do

Cause: a stream that lost its chain was sent to one other chain. When that one had no room it was cut at once, although room comes back within a few hundred milliseconds and nobody else can go on with the rest.

Change: a begun stream tries replicas that refused it again every 100 ms until shortly before its caller gives up, with up to 12 sends from the shared budget, and is sent with the most urgent priority.

--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -60,8 +60,8 @@
 type Request struct {
 	// Tokens is the number of tokens that the request will hold in memory.
 	Tokens float64
-	// Exclude has the ids of replicas that must not be used.
-	Exclude map[string]bool
+	// Exclude reports whether a replica must not be used; nil excludes none.
+	Exclude func(id string) bool
 	// Penalty adds to the cost of data centres in which the request failed before.
 	Penalty map[string]time.Duration
 	// Random returns numbers in [0, 1).
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -81,7 +81,7 @@
 	var sites []*site
 	index := map[string]*site{}
 	for _, r := range view.Replicas {
-		if r.Draining || r.Layers.Len() == 0 || request.Exclude[r.ID] {
+		if r.Draining || r.Layers.Len() == 0 || (request.Exclude != nil && request.Exclude(r.ID)) {
 			continue
 		}
 		factor := 1.0
--- a/internal/mangopipeline/choose_test.go
+++ b/internal/mangopipeline/choose_test.go
@@ -120,7 +120,7 @@
 			}
 			chain, err := Choose(
 				View{Replicas: tt.replicas, Engine: engine(8), Loads: board, Local: "x", Daemons: 1, Now: now},
-				Request{Exclude: tt.exclude, Random: still},
+				Request{Exclude: func(id string) bool { return tt.exclude[id] }, Random: still},
 			)
 			is.Equal(err == nil, tt.want != "")
 			is.Equal(chain.String(), tt.want)
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -21,6 +21,17 @@
 	// lost replica is replaced in about two seconds, so a longer wait would seldom help.
 	emptyWait = 300 * time.Millisecond
 	emptyStep = 50 * time.Millisecond
+	// maxStreamSends is the same for a stream that has begun, which nobody else can take over.
+	maxStreamSends = 12
+	// resumeStep is the pause before a begun stream tries replicas again that had no room for it.
+	resumeStep = 100 * time.Millisecond
+	// callerPatience is the least time without an event after which callers leave a stream; they wait for patienceTargets
+	// times the target or patienceGaps times the longest pause if one of them is longer.
+	callerPatience  = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+	// resumeMargin is kept of that time for the first event of the new chain.
+	resumeMargin = 400 * time.Millisecond
 	// keepForStreams is the share of the retry budget that is kept for streams that have begun.
 	keepForStreams = 0.4
 	// answerMargin is kept of the caller's time, so that the final answer still reaches it.
@@ -56,7 +67,9 @@
 	// deadline is the time until which the final answer is due.
 	deadline time.Time
 
+	// exclude has the replicas that failed this request, and full those that had no room for it.
 	exclude map[string]bool
+	full    map[string]bool
 	penalty map[string]time.Duration
 	// sends counts all tries, arrivals those that reached an upstream and runs those that may have run.
 	sends    int
@@ -85,7 +98,7 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, request *Request) bool {
 	c := &call{
 		relay: r, request: request, writer: w, control: http.NewResponseController(w), view: r.state.View(),
-		exclude: map[string]bool{}, penalty: map[string]time.Duration{},
+		exclude: map[string]bool{}, full: map[string]bool{}, penalty: map[string]time.Duration{},
 	}
 	c.events.last, c.events.seen = request.LastEvent, request.Resumes
 	whole := c.serve(ctx)
@@ -244,7 +257,7 @@
 	switch {
 	case c.sends == 0:
 		return ""
-	case c.sends >= maxSends:
+	case c.sends >= c.maxSends():
 		return "TooManySends"
 	case c.runs >= max(c.route.MaxAttempts, 1):
 		return "TooManyAttempts"
@@ -259,6 +272,13 @@
 	return ""
 }
 
+func (c *call) maxSends() int {
+	if c.started {
+		return maxStreamSends
+	}
+	return maxSends
+}
+
 // keep returns the share of the retry budget that this request must leave. A stream that has begun is lost without a
 // retry, while others can come back.
 func (c *call) keep() float64 {
@@ -268,24 +288,39 @@
 	return keepForStreams
 }
 
-// await chooses a target; while there is none it waits a moment for one.
+// await chooses a target; while there is none it waits a moment for one. A stream that has begun waits as long as its
+// caller does, since the caller has no other way to its rest.
 func (c *call) await(ctx context.Context) (target, bool) {
-	until := time.Now().Add(emptyWait)
+	until, step := time.Now().Add(emptyWait), emptyStep
+	if c.started {
+		until, step = c.lastEvent.Add(c.streamPatience()), resumeStep
+	}
 	for {
 		t, ok := c.choose()
 		if ok || !time.Now().Before(until) || ctx.Err() != nil {
 			return t, ok
 		}
-		if len(c.exclude) > 0 {
+		if !c.started && len(c.exclude)+len(c.full) > 0 {
 			// All others have just been tried for this request; waiting would only hold its refusal back.
 			return t, false
 		}
-		timer := time.NewTimer(emptyStep)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		sleep(ctx, step)
+		// Replicas that were full may have room by now.
+		clear(c.full)
+	}
+}
+
+// streamPatience is the time without an event for which a begun stream tries to go on.
+func (c *call) streamPatience() time.Duration {
+	return max(callerPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget) - resumeMargin
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -51,7 +51,7 @@
 
 func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
 	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
-		Tokens: c.tokens(), Exclude: c.exclude, Penalty: c.penalty, Random: c.relay.random,
+		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penalty, Random: c.relay.random,
 	})
 	if err != nil {
 		return target{}, false
@@ -62,6 +62,9 @@
 	}, true
 }
 
+// excluded reports whether a replica must not be used for this request.
+func (c *call) excluded(id string) bool { return c.exclude[id] || c.full[id] }
+
 // tokens estimates the memory of a request; the answer grows over its life, so half of it counts.
 func (c *call) tokens() float64 {
 	answer := float64(c.request.AnswerTokens)
@@ -77,7 +80,7 @@
 	var best *mangoreplica.Replica
 	least := 0.0
 	for _, r := range replicas {
-		if r.Draining || c.exclude[r.ID] {
+		if r.Draining || c.excluded(r.ID) {
 			continue
 		}
 		cost := c.relay.board.Busy(r.ID, r.Slots, now) + spread*c.relay.random()
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -90,6 +90,10 @@
 	if c.customer.Ranked {
 		s.Priority = c.customer.Priority
 	}
+	if c.started {
+		// A caller that has a part of its answer is served before those that have none.
+		s.Priority = 0
+	}
 	if !c.deadline.IsZero() {
 		s.Left = max(time.Until(c.deadline), time.Millisecond)
 	}
@@ -164,7 +168,7 @@
 	if r := c.relay.state.View().Fleet.ByAddress(a.FaultAt); r != nil {
 		fault = r
 	}
-	c.exclude[fault.ID] = true
+	c.full[fault.ID] = true
 	c.fault = fault.ID
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
