Place layers without the store when the holder of the lease is gone

Cause: while the store was away nobody took over from a holder that stopped, and what a new one went by were entries that said nothing of the last orders.

Change: the daemon that places layers says so while nobody reaches the store; when it falls silent the first of the others takes over under the last fencing number (mangodeputy). Orders are told to all daemons, and before it plans without the store a daemon asks all replicas for their layers. News to each daemon has a line of its own, so that one that does not answer delays no other. A gap is filled by several small copies that load at the same time instead of one large one, and a copy that fills it does not wait for the requests that pass through it.

--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangodeputy"
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangolog"
@@ -55,6 +56,7 @@
 	monitor    *mangoliveness.Monitor
 	peers      *mangopeer.Client
 	placement  placementTenure
+	deputy     *mangodeputy.Deputy
 	membership membership
 	placer     *mangolayout.Placer
 	ingress    *ingress
@@ -66,12 +68,12 @@
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, lines *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, board *mangoreplica.Board, budget *mangobudget.Budget, suspects *mangosuspect.Suspects,
-	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, monitor *mangoliveness.Monitor, peers *mangopeer.Client, placement placementTenure, membership membership,
+	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, monitor *mangoliveness.Monitor, peers *mangopeer.Client, placement placementTenure, deputy *mangodeputy.Deputy, membership membership,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.Relay, registry *prometheus.Registry, phase *phase,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, lines: lines, self: self, controller: controller, board: board, budget: budget,
-		suspects: suspects, relay: relay, news: news, poller: poller, monitor: monitor, peers: peers, placement: placement, membership: membership, placer: placer,
+		suspects: suspects, relay: relay, news: news, poller: poller, monitor: monitor, peers: peers, placement: placement, deputy: deputy, membership: membership, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, phase: phase,
 	}
 }
@@ -124,6 +126,7 @@
 	run("poller", func() error { return d.poller.Run(duties) })
 	run("membership", func() error { return d.membership.Run(duties) })
 	run("placement", func() error { return d.placement.Run(duties) })
+	run("deputy", func() error { return d.deputy.Run(duties) })
 	run("placer", func() error { return d.placer.Run(duties) })
 	run("peers", func() error { return peerServer.Serve(inner, listeners.peers) })
 	run("readiness", func() error { return readiness.Serve(listeners.readiness) })
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -9,6 +9,7 @@
 
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangodeputy"
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangometric"
@@ -163,16 +164,30 @@
 }
 
 func providePlacer(
-	state *mangostate.Controller, tenure placementTenure, engines *platform.Engines, board *mangoreplica.Board,
+	state *mangostate.Controller, tenure *mangodeputy.Deputy, engines *platform.Engines, board *mangoreplica.Board,
 	news *mangonews.News, metrics *mangometric.Relay, logger *logrus.Logger,
 ) *mangolayout.Placer {
-	return mangolayout.New(
-		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order),
+	p := mangolayout.New(
+		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order), mangolayout.WithGiven(news.Given),
 		mangolayout.WithSignal(state.Subscribe()), mangolayout.WithSightings(func(s mangoreplica.Sighting) {
 			state.See(s)
 			news.Sighted(s)
 		}),
 	)
+	news.Orders(p.Learn)
+	return p
+}
+
+// provideDeputy is also where claims of other daemons arrive.
+func provideDeputy(
+	self mangostate.Member, placement placementTenure, state *mangostate.Controller, poller *mangostate.Poller, news *mangonews.News,
+	logger *logrus.Logger,
+) *mangodeputy.Deputy {
+	d := mangodeputy.New(self, placement, state, poller.Alone, func(fence uint64, holder bool) {
+		news.Claim(mangonews.Claim{Fence: fence, Holder: holder})
+	}, mangodeputy.WithLogger(logger))
+	news.Claims(func(from string, c mangonews.Claim) { d.Heard(from, c.Fence, c.Holder) })
+	return d
 }
 
 func provideRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -42,10 +42,11 @@
 	monitor := provideMonitor(member, controller, mangorelayRelay, news, logger)
 	mangoentryBoot := provideBoot()
 	mangoentryPlacementTenure := provideTenure(settings, member, mangoentryBoot, store, controller, poller, logger)
+	deputy := provideDeputy(member, mangoentryPlacementTenure, controller, poller, news, logger)
 	mangoentryMembership := provideMembership(settings, member, mangoentryBoot, store, controller, logger)
-	placer := providePlacer(controller, mangoentryPlacementTenure, engines, board, news, relay, logger)
+	placer := providePlacer(controller, deputy, engines, board, news, relay, logger)
 	mangoentryIngress := newIngress(mangorelayRelay, controller, mangoentryPhase, logger)
-	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, monitor, client, mangoentryPlacementTenure, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
+	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, monitor, client, mangoentryPlacementTenure, deputy, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
 	return daemon, nil
 }
 
@@ -54,6 +55,6 @@
 // providers has a constructor for each part of a daemon.
 var providers = wire.NewSet(
 	provideBoot, provideSelf, provideStore, provideController, provideBudget, provideSuspects, providePeers, provideNews,
-	providePoller, provideEngines, provideRelay, provideMonitor, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
+	providePoller, provideEngines, provideRelay, provideMonitor, provideDeputy, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
 	newDaemon, mangoreplica.NewBoard, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -51,11 +51,21 @@
 	Replica *mangoreplica.Replica
 	Layers  mangoreplica.Range
 	Fence   uint64
+	// Urgent orders do not wait for requests that pass through layers that are given up; these go on elsewhere.
+	Urgent bool
 	// Expected is the number of orders that the replica is to have accepted before. An order that is carried out late,
 	// after a newer one, fails because of it.
 	Expected uint64
 }
 
+// Given is an order that a replica carries out.
+type Given struct {
+	Replica mangoreplica.Incarnation
+	Layers  mangoreplica.Range
+	// Until is the time by which the entry of the replica is expected to show the layers.
+	Until time.Time
+}
+
 // Report is what a replica says of its state.
 type Report struct {
 	Orders uint64
@@ -121,11 +131,15 @@
 	logger  logrus.FieldLogger
 	observe Observer
 	sighted func(s mangoreplica.Sighting)
+	given   func(g Given)
 
 	mu      sync.Mutex
 	pending map[mangoreplica.Incarnation]pending
 	// orders has the number of accepted orders of replicas, as far as is known.
 	orders map[mangoreplica.Incarnation]uint64
+	// surveyed is the time of the last survey; zero if there was none since this daemon places layers without the store.
+	surveyed  time.Time
+	surveying bool
 	// seen is the number of replicas of a service that holds no layers, since when and from when on.
 	seen map[string]settling
 }
@@ -147,6 +161,9 @@
 // WithSignal sets the channel that is signalled after changes of the state.
 func WithSignal(s <-chan struct{}) Option { return func(p *Placer) { p.signal = s } }
 
+// WithGiven sets the receiver of orders that were given. It must not block.
+func WithGiven(f func(g Given)) Option { return func(p *Placer) { p.given = f } }
+
 // WithSightings sets the receiver of what replicas say of their layers after an order. It must not block.
 func WithSightings(f func(s mangoreplica.Sighting)) Option { return func(p *Placer) { p.sighted = f } }
 
@@ -154,7 +171,7 @@
 func New(state State, tenure Tenure, engines Engines, board *mangoreplica.Board, opts ...Option) *Placer {
 	p := &Placer{
 		state: state, tenure: tenure, engines: engines, board: board, logger: logrus.StandardLogger(),
-		observe: func(string, string) {}, sighted: func(mangoreplica.Sighting) {}, pending: map[mangoreplica.Incarnation]pending{},
+		observe: func(string, string) {}, sighted: func(mangoreplica.Sighting) {}, given: func(Given) {}, pending: map[mangoreplica.Incarnation]pending{},
 		orders: map[mangoreplica.Incarnation]uint64{}, seen: map[string]settling{},
 	}
 	for _, o := range opts {
@@ -181,25 +198,43 @@
 			p.forget()
 			continue
 		}
+		if p.state.View().Reachable {
+			p.endSurveys()
+		} else if !p.known(ctx, &orders) {
+			continue
+		}
 		for _, o := range p.round(fence, time.Now()) {
 			orders.Go(func() { p.give(ctx, o) })
 		}
 	}
 }
 
-// forget drops what is known of orders; another daemon may give them now.
+// Learn takes an order that another daemon has given. It never blocks.
+func (p *Placer) Learn(g Given) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending[g.Replica] = pending{layers: g.Layers, until: g.Until}
+}
+
+// forget drops the numbers of orders, as another daemon may give some now; the orders themselves it tells.
 func (p *Placer) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	clear(p.pending)
+	now := time.Now()
+	for i, o := range p.pending {
+		if !now.Before(o.until) {
+			delete(p.pending, i)
+		}
+	}
 	clear(p.orders)
+	p.surveyed = time.Time{}
 }
 
 // assigned is an order with what it is for.
 type assigned struct {
 	Order
 	engine *mangoroute.Engine
-	reason string
+	reason Reason
 }
 
 // round returns the orders to give now and notes them as pending.
@@ -221,14 +256,14 @@
 		}
 		for _, m := range Plan(s.Engine, states) {
 			// Copies can wait, while a range without a holder keeps a data centre from serving.
-			if m.Reason == "Copy" && loading >= max(s.Engine.LoadsAtOnce, 1) {
+			if m.Reason == Copy && loading >= max(s.Engine.LoadsAtOnce, 1) {
 				continue
 			}
 			loading++
 			i := m.Replica.Incarnation()
 			p.pending[i] = pending{layers: m.Layers, until: now.Add(orderTimeout + repeatAfter)}
 			orders = append(orders, assigned{
-				Order:  Order{Replica: m.Replica, Layers: m.Layers, Fence: fence},
+				Order:  Order{Replica: m.Replica, Layers: m.Layers, Fence: fence, Urgent: m.Reason.Urgent()},
 				engine: s.Engine, reason: m.Reason,
 			})
 		}
@@ -246,7 +281,8 @@
 		if o, ok := outages[i]; r.Draining || (ok && (o.Cause.Lost() || o.Cause == mangoreplica.CauseLeaving)) {
 			continue
 		}
-		s := Holding{Replica: r, Layers: r.Layers, Settled: true}
+		requests, _ := p.board.InFlight(r.ID)
+		s := Holding{Replica: r, Layers: r.Layers, Settled: true, Requests: requests}
 		if o, ok := p.pending[i]; ok {
 			switch {
 			case !now.Before(o.until), !o.blocked && r.Layers == o.layers:
@@ -303,7 +339,7 @@
 	if err != nil {
 		label = "NoAnswer"
 	}
-	p.observe(o.reason, label)
+	p.observe(string(o.reason), label)
 	entry := p.logger.WithFields(logrus.Fields{
 		"event": "order_given", "replica": o.Replica.ID, "address": o.Replica.Address, "data_centre": o.Replica.DataCentre,
 		"layers_from": o.Layers.From, "layers_to": o.Layers.To, "reason": o.reason, "fence": o.Fence, "expected": o.Expected,
@@ -317,7 +353,7 @@
 	i := o.Replica.Incarnation()
 	switch {
 	case err != nil:
-		p.settle(i, pending{layers: o.Layers, until: now.Add(repeatAfter)})
+		p.begun(i, o.Layers, now.Add(repeatAfter))
 	case outcome == Outranked:
 		p.tenure.Renounce(o.Fence)
 	case outcome == Mismatch:
@@ -327,7 +363,7 @@
 		p.settle(i, pending{layers: o.Replica.Layers, blocked: true, until: now.Add(conflictPause)})
 	default:
 		p.accepted(i, o.Expected+1)
-		p.settle(i, pending{layers: o.Layers, until: now.Add(2*loadTime(o) + entryLag)})
+		p.begun(i, o.Layers, now.Add(2*loadTime(o)+entryLag))
 		return true
 	}
 	return false
@@ -407,6 +443,12 @@
 	p.settle(i, next)
 }
 
+// begun notes an order on its way and tells it.
+func (p *Placer) begun(i mangoreplica.Incarnation, layers mangoreplica.Range, until time.Time) {
+	p.settle(i, pending{layers: layers, until: until})
+	p.given(Given{Replica: i, Layers: layers, Until: until})
+}
+
 func (p *Placer) settle(i mangoreplica.Incarnation, o pending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -15,14 +15,40 @@
 	Layers mangoreplica.Range
 	// Settled replicas are not changing their layers; only they get orders.
 	Settled bool
+	// Requests is the number of requests of this daemon that pass through it.
+	Requests int
 }
 
+// Reason says what a move is for.
+type Reason string
+
+const (
+	// Layout moves are the first ones of a data centre.
+	Layout Reason = "Layout"
+	// Rebuild moves lay out a data centre anew that no longer serves.
+	Rebuild Reason = "Rebuild"
+	// Gap moves give layers without a holder to an empty replica.
+	Gap Reason = "Gap"
+	// GapFromCopy moves give them to a replica whose layers others hold.
+	GapFromCopy Reason = "GapFromCopy"
+	// Extend moves give them to a neighbour beside its own.
+	Extend Reason = "Extend"
+	// Copy moves give layers a further holder.
+	Copy Reason = "Copy"
+	// Trim moves take layers from a replica that has more than its share.
+	Trim Reason = "Trim"
+)
+
+// Urgent reports whether a move is not to wait for the requests that pass through the replica. The data centre does not
+// serve until the move is done, and only the few requests on one copy have to go on elsewhere.
+func (r Reason) Urgent() bool { return r == GapFromCopy }
+
 // Move is a change of the layers of a replica.
 type Move struct {
 	Replica *mangoreplica.Replica
 	Layers  mangoreplica.Range
 	// Reason says what the move is for.
-	Reason string
+	Reason Reason
 }
 
 const (
@@ -39,6 +65,8 @@
 	// trimAt is the number of layers too many from which a replica gives them up; a smaller change is not worth the
 	// moment for which the replica takes no requests.
 	trimAt = 3
+	// quickLoad is the number of layers that load within about a second; a replica that closes a smaller gap takes as many.
+	quickLoad = 6
 	// reserve is the number of layers, as a share of the model, that replicas hold twice if the memory allows it: a copy
 	// can take the place of a lost replica at once.
 	reserve = 0.12
@@ -80,7 +108,7 @@
 	p.sort()
 	held := slices.ContainsFunc(p.states, func(s Holding) bool { return s.Layers.Len() > 0 })
 	if !held {
-		p.layOut("Layout")
+		p.layOut(Layout)
 		return p.moves
 	}
 	p.count()
@@ -131,7 +159,7 @@
 }
 
 // layOut gives all replicas their layers one after the other and begins at the first layer again after the last.
-func (p *planner) layOut(reason string) {
+func (p *planner) layOut(reason Reason) {
 	if p.total() < p.engine.Layers {
 		return
 	}
@@ -156,7 +184,7 @@
 	slices.SortStableFunc(p.states, func(a, b Holding) int {
 		return cmp.Or(compareBool(a.Layers.Len() == 0, b.Layers.Len() == 0), cmp.Compare(a.Layers.From, b.Layers.From))
 	})
-	p.layOut("Rebuild")
+	p.layOut(Rebuild)
 }
 
 func compareBool(a, b bool) int {
@@ -170,7 +198,7 @@
 	}
 }
 
-func (p *planner) move(s Holding, layers mangoreplica.Range, reason string) {
+func (p *planner) move(s Holding, layers mangoreplica.Range, reason Reason) {
 	if !s.Settled || s.Layers == layers {
 		return
 	}
@@ -216,17 +244,18 @@
 		}
 		gap := slices.MaxFunc(gaps, func(a, b mangoreplica.Range) int { return cmp.Compare(a.Len(), b.Len()) })
 		if i := p.pick(gap, p.empty); i >= 0 {
-			p.take(i, p.window(gap, p.size(p.states[i], p.room)), "Gap")
+			p.take(i, p.window(gap, p.size(p.states[i], p.room)), Gap)
 			continue
 		}
 		if p.extend(gap) {
 			continue
 		}
-		i := p.pick(gap, p.redundant)
+		i := p.pickCopy(gap)
 		if i < 0 {
 			return
 		}
-		p.take(i, p.window(gap, p.size(p.states[i], p.room)), "GapFromCopy")
+		n := min(p.size(p.states[i], p.room), max(gap.Len(), quickLoad))
+		p.take(i, p.window(gap, n), GapFromCopy)
 	}
 }
 
@@ -242,10 +271,10 @@
 	fromRight := min(rightSlack, gap.Len()-fromLeft)
 	fromLeft = gap.Len() - fromRight
 	if fromLeft > 0 {
-		p.take(left, mangoreplica.Range{From: p.states[left].Layers.From, To: gap.From + fromLeft}, "Extend")
+		p.take(left, mangoreplica.Range{From: p.states[left].Layers.From, To: gap.From + fromLeft}, Extend)
 	}
 	if fromRight > 0 {
-		p.take(right, mangoreplica.Range{From: gap.To - fromRight, To: p.states[right].Layers.To}, "Extend")
+		p.take(right, mangoreplica.Range{From: gap.To - fromRight, To: p.states[right].Layers.To}, Extend)
 	}
 	return true
 }
@@ -265,7 +294,7 @@
 }
 
 // take orders a state to hold layers and counts them as held.
-func (p *planner) take(i int, layers mangoreplica.Range, reason string) {
+func (p *planner) take(i int, layers mangoreplica.Range, reason Reason) {
 	s := &p.states[i]
 	p.move(*s, layers, reason)
 	p.add(s.Layers, -1)
@@ -293,6 +322,33 @@
 	return best
 }
 
+// pickCopy returns the state whose layers others hold that is to take over a gap, or -1: the largest that the gap takes
+// whole, else the smallest. Several small replicas load their parts at the same time, while one large replica takes as
+// long as all of them together. Of equals the one that fewest requests pass through is taken.
+func (p *planner) pickCopy(gap mangoreplica.Range) int {
+	best := -1
+	for i, s := range p.states {
+		n := p.size(s, p.room)
+		if n <= 0 || !p.redundant(s) {
+			continue
+		}
+		if best < 0 {
+			best = i
+			continue
+		}
+		b := p.size(p.states[best], p.room)
+		switch {
+		case n == b:
+			if s.Requests < p.states[best].Requests {
+				best = i
+			}
+		case n <= gap.Len() && (b > gap.Len() || n > b), n > gap.Len() && b > gap.Len() && n < b:
+			best = i
+		}
+	}
+	return best
+}
+
 func (p *planner) empty(s Holding) bool { return s.Settled && s.Layers.Len() == 0 }
 
 // redundant reports whether other replicas hold all layers of a state.
@@ -338,7 +394,7 @@
 				best, most = from, relief
 			}
 		}
-		p.take(i, mangoreplica.Range{From: best, To: best + n}, "Copy")
+		p.take(i, mangoreplica.Range{From: best, To: best + n}, Copy)
 	}
 }
 
@@ -369,7 +425,7 @@
 			r.To--
 		}
 		if r != s.Layers {
-			p.take(i, r, "Trim")
+			p.take(i, r, Trim)
 			return
 		}
 	}
--- a/internal/mangolayout/plan_test.go
+++ b/internal/mangolayout/plan_test.go
@@ -167,3 +167,37 @@
 	}
 	is.True(loaded <= 16)
 }
+
+// Guards against a gap that one large replica fills by loading for many seconds, although small replicas whose layers
+// others hold could load its parts at the same time; a data centre was without a chain for four seconds.
+func TestGapIsLoadedInParts(t *testing.T) {
+	tests := []struct {
+		name string
+		lost string
+		most int
+	}{
+		{"beside the largest", "a100s-0", 8},
+		{"the largest", "h100-0", 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			states := fleet(sites()[0])
+			settleAll(states)
+			var left []Holding
+			for _, s := range states {
+				if s.Replica.ID != tt.lost {
+					left = append(left, s)
+				}
+			}
+			for _, m := range Plan(engine(), left) {
+				for _, s := range left {
+					if s.Replica.ID == m.Replica.ID {
+						loaded := m.Layers.Len() - max(0, min(m.Layers.To, s.Layers.To)-max(m.Layers.From, s.Layers.From))
+						is.True(loaded <= tt.most)
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/mangolayout/survey_test.go
@@ -0,0 +1,120 @@
+package mangolayout
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
+	"mangopath.org/mangopath/internal/mangostate"
+)
+
+// fakeEngines are replicas with one report each; they count their orders.
+type fakeEngines struct {
+	mu     sync.Mutex
+	report Report
+	err    error
+	orders []Order
+}
+
+func (f *fakeEngines) Place(_ context.Context, o Order) (Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	return Begun, nil
+}
+
+func (f *fakeEngines) Report(context.Context, *mangoreplica.Replica) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.report, f.err
+}
+
+func (f *fakeEngines) given() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.orders)
+}
+
+type holder struct{}
+
+func (holder) Holds() (uint64, bool) { return 4, true }
+
+func (holder) Renounce(uint64) {}
+
+// movingState is a view that takes sightings.
+type movingState struct {
+	mu   sync.Mutex
+	view mangostate.View
+}
+
+func (s *movingState) View() *mangostate.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.view
+	return &v
+}
+
+func (s *movingState) see(g mangoreplica.Sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := *s.view.Fleet.ByID(g.Replica.ID)
+	r.Layers = g.Layers
+	s.view.Fleet = mangoreplica.NewFleet([]*mangoreplica.Replica{&r})
+}
+
+// Guards against a daemon that begins to place layers while the store is away and goes by entries that say nothing of the
+// last orders: it orders the same layers again, or takes layers from replicas that need them.
+func TestSurvey(t *testing.T) {
+	all := mangoreplica.Range{To: 8}
+	tests := []struct {
+		name      string
+		reachable bool
+		report    Report
+		err       error
+		orders    int
+		held      mangoreplica.Range
+	}{
+		{"the store is well", true, Report{}, nil, 1, mangoreplica.Range{}},
+		{"the replica is empty", false, Report{}, nil, 1, mangoreplica.Range{}},
+		{"the replica holds what its entry does not say", false, Report{Orders: 1, Layers: all}, nil, 0, all},
+		{"the replica carries out another order", false, Report{Orders: 1, Busy: true}, nil, 0, mangoreplica.Range{}},
+		{"the replica does not answer", false, Report{}, errors.New("no answer"), 0, mangoreplica.Range{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			engines := &fakeEngines{report: tt.report, err: tt.err}
+			model := &mangoroute.Engine{
+				Layers: 8, LayerMB: 1750, TokenBytes: 590000, LoadSeconds: 60,
+				Accelerators: map[string]mangoroute.Accelerator{"k": {MemoryMB: 72000, StepFactor: 1}},
+			}
+			state := &movingState{view: mangostate.View{
+				Table:     mangoroute.New(1, nil, []mangoroute.Service{{Name: "model", Engine: model}}, nil, false, mangoroute.Limits{}),
+				Fleet:     mangoreplica.NewFleet([]*mangoreplica.Replica{{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}}),
+				Reachable: tt.reachable,
+			}}
+			logger := logrus.New()
+			logger.SetOutput(io.Discard)
+			p := New(state, holder{}, engines, mangoreplica.NewBoard(), WithLogger(logger), WithSightings(state.see))
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- p.Run(ctx) }()
+			until := time.Now().Add(settleQuiet + 4*interval)
+			for time.Now().Before(until) && (tt.orders == 0 || engines.given() == 0) {
+				time.Sleep(interval / 10)
+			}
+			cancel()
+			is.True(<-ended != nil)
+			is.Equal(engines.given(), tt.orders)
+			is.Equal(state.View().Fleet.ByID("r").Layers, tt.held)
+		})
+	}
+}
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -15,14 +16,12 @@
 )
 
 const (
-	// batch is the pause in which news gathers; the parts of a chain are often found lost together.
-	batch = 5 * time.Millisecond
+	// gather is the pause in which news gathers; the parts of a chain are often found lost together.
+	gather = 5 * time.Millisecond
 	// sendTimeout bounds one message to one daemon.
 	sendTimeout = 500 * time.Millisecond
 	// maxHeard bounds how long a replica is avoided on another daemon's word, which may see less than this one.
 	maxHeard = 1500 * time.Millisecond
-	// maxWaiting bounds the outages that wait to be told.
-	maxWaiting = 1024
 	// heardAge is the time for which a daemon that sent news is told news even if it is not announced in the store, which may
 	// turn it away for as long as that.
 	heardAge = 15 * time.Second
@@ -40,6 +39,14 @@
 	View() *mangostate.View
 }
 
+// Claim says that a daemon places layers although nobody reaches the store.
+type Claim struct {
+	// Fence is the fencing number of its orders.
+	Fence uint64
+	// Holder says that the daemon holds the lease, or held it when the store was last reached.
+	Holder bool
+}
+
 // News sends and receives news. Its methods are safe for concurrent use.
 type News struct {
 	self     mangostate.Member
@@ -52,18 +59,16 @@
 	heard    func(revision uint64)
 	see      func(s mangoreplica.Sighting)
 	suspect  func(r *mangoreplica.Replica)
+	claimed  func(from string, c Claim)
+	ordered  func(g mangolayout.Given)
 
-	mu        sync.Mutex
-	waiting   []mangoreplica.Outage
-	sightings []mangoreplica.Sighting
-	// revision is one of the store's that the others are to be told; 0 if there is none.
-	revision uint64
-	// told is the position in the log of suspects up to which each daemon was told.
-	told map[string]uint64
-	// unreached has the daemons that did not answer last time.
-	unreached map[string]bool
+	mu      sync.Mutex
+	waiting batch
+	// lines has what is to be told to each daemon.
+	lines map[string]*line
 	// senders has the daemons that sent news, with the time of the last one.
 	senders map[string]sender
+	running sync.WaitGroup
 }
 
 // sender is a daemon that sent news.
@@ -90,14 +95,20 @@
 // function must not block.
 func (n *News) Verify(suspect func(r *mangoreplica.Replica)) { n.suspect = suspect }
 
+// Claims sets the receiver of claims of other daemons. It must be called before Run, and the receiver must not block.
+func (n *News) Claims(claimed func(from string, c Claim)) { n.claimed = claimed }
+
+// Orders sets the receiver of orders that other daemons gave. It must be called before Run, and the receiver must not block.
+func (n *News) Orders(ordered func(g mangolayout.Given)) { n.ordered = ordered }
+
 // New returns News of a daemon.
 func New(
 	self mangostate.Member, client Exchanger, state State, board *mangoreplica.Board, suspects *mangosuspect.Suspects, opts ...Option,
 ) *News {
 	n := &News{
 		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
-		wake: make(chan struct{}, 1), told: map[string]uint64{}, unreached: map[string]bool{}, senders: map[string]sender{}, heard: func(uint64) {},
-		see: func(mangoreplica.Sighting) {}, suspect: func(*mangoreplica.Replica) {},
+		wake: make(chan struct{}, 1), lines: map[string]*line{}, senders: map[string]sender{}, heard: func(uint64) {},
+		see: func(mangoreplica.Sighting) {}, suspect: func(*mangoreplica.Replica) {}, claimed: func(string, Claim) {}, ordered: func(mangolayout.Given) {},
 	}
 	for _, o := range opts {
 		o(n)
@@ -106,29 +117,25 @@
 }
 
 // Announce queues an outage for the other daemons. It never blocks.
-func (n *News) Announce(o mangoreplica.Outage) {
-	n.mu.Lock()
-	if len(n.waiting) < maxWaiting {
-		n.waiting = append(n.waiting, o)
-	}
-	n.mu.Unlock()
-	n.Crashed()
-}
+func (n *News) Announce(o mangoreplica.Outage) { n.queue(batch{outages: []mangoreplica.Outage{o}}) }
 
 // Revision queues a revision of the store for the other daemons. It never blocks.
-func (n *News) Revision(revision uint64) {
-	n.mu.Lock()
-	n.revision = max(n.revision, revision)
-	n.mu.Unlock()
-	n.Crashed()
-}
+func (n *News) Revision(revision uint64) { n.queue(batch{revision: revision}) }
 
 // Sighted queues what a replica said of its layers for the other daemons. It never blocks.
 func (n *News) Sighted(s mangoreplica.Sighting) {
+	n.queue(batch{sightings: []mangoreplica.Sighting{s}})
+}
+
+// Given queues an order of this daemon for the other daemons. It never blocks.
+func (n *News) Given(g mangolayout.Given) { n.queue(batch{given: []mangolayout.Given{g}}) }
+
+// Claim queues a claim of this daemon for the other daemons. It never blocks.
+func (n *News) Claim(c Claim) { n.queue(batch{claim: &c}) }
+
+func (n *News) queue(b batch) {
 	n.mu.Lock()
-	if len(n.sightings) < maxWaiting {
-		n.sightings = append(n.sightings, s)
-	}
+	n.waiting = n.waiting.with(b)
 	n.mu.Unlock()
 	n.Crashed()
 }
@@ -143,6 +150,7 @@
 
 // Run sends news until the context ends.
 func (n *News) Run(ctx context.Context) error {
+	defer n.running.Wait()
 	again := time.NewTicker(repeatUnreached)
 	defer again.Stop()
 	for {
@@ -150,15 +158,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-again.C:
-			n.mu.Lock()
-			idle := len(n.unreached) == 0
-			n.mu.Unlock()
-			if idle {
+			if !n.anyUnreached() {
 				continue
 			}
 		case <-n.wake:
 		}
-		timer := time.NewTimer(batch)
+		timer := time.NewTimer(gather)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -168,15 +173,26 @@
 	}
 }
 
-// send tells all other daemons what is new.
+// send gives what is new to the lines of all other daemons.
 func (n *News) send(ctx context.Context) {
-	now := time.Now()
-	news := n.take(now)
-	var group sync.WaitGroup
-	for _, m := range n.peers(now) {
-		group.Go(func() { n.tell(ctx, m, news, now) })
+	peers := n.peers(time.Now())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.waiting
+	n.waiting = batch{}
+	n.forget(peers)
+	for _, m := range peers {
+		l := n.lines[m.Name]
+		if l == nil {
+			l = &line{}
+			n.lines[m.Name] = l
+		}
+		l.waiting = l.waiting.with(b)
+		if !l.busy {
+			l.busy = true
+			n.running.Go(func() { n.serve(ctx, m, l) })
+		}
 	}
-	group.Wait()
 }
 
 // peers returns the other daemons: those that are announced in the store, and those that sent news a short while ago.
@@ -212,65 +228,6 @@
 	n.senders[from.GetName()] = sender{member: mangostate.Member{Name: from.GetName(), Address: from.GetAddress()}, at: now}
 }
 
-// take returns what waits to be told.
-func (n *News) take(now time.Time) *mangomessage.ExchangeRequest {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	news := &mangomessage.ExchangeRequest{
-		From: &mangomessage.Member{Name: n.self.Name, Address: n.self.Address}, Revision: n.revision,
-	}
-	for _, o := range n.waiting {
-		news.Outages = append(news.Outages, &mangomessage.Outage{
-			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)),
-		})
-	}
-	for _, s := range n.sightings {
-		news.Sightings = append(news.Sightings, &mangomessage.Sighting{
-			Replica: s.Replica.ID, Born: s.Replica.Born, FromLayer: uint32(s.Layers.From), ToLayer: uint32(s.Layers.To),
-		})
-	}
-	n.waiting, n.sightings, n.revision = nil, nil, 0
-	return news
-}
-
-func milliseconds(d time.Duration) uint32 { return uint32(max(d, 0) / time.Millisecond) }
-
-func (n *News) tell(ctx context.Context, m mangostate.Member, news *mangomessage.ExchangeRequest, now time.Time) {
-	n.mu.Lock()
-	after := n.told[m.Name]
-	n.mu.Unlock()
-	suspicions, next := n.suspects.News(after, now)
-	if len(news.GetOutages()) == 0 && len(news.GetSightings()) == 0 && len(suspicions) == 0 && news.GetRevision() == 0 {
-		n.reached(m.Name, next, true)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
-	_, err := n.client.Exchange(ctx, m.Address, &mangomessage.ExchangeRequest{
-		From: news.GetFrom(), Outages: news.GetOutages(), Sightings: news.GetSightings(), Revision: news.GetRevision(),
-		Suspicions: suspicions,
-	})
-	if err != nil {
-		n.logger.WithFields(logrus.Fields{"event": "peer_unreached", "peer": m.Name, "address": m.Address}).WithError(err).
-			Warn("a daemon could not be told the news")
-		n.reached(m.Name, after, false)
-		return
-	}
-	n.reached(m.Name, next, true)
-}
-
-// reached notes whether a daemon was told. Outages are not told again, since they are old by then; suspicions are.
-func (n *News) reached(name string, next uint64, ok bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.told[name] = next
-	if ok {
-		delete(n.unreached, name)
-		return
-	}
-	n.unreached[name] = true
-}
-
 // Exchange implements mangopeer.Handler.
 func (n *News) Exchange(_ context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
 	now := time.Now()
@@ -284,6 +241,16 @@
 			Layers:  mangoreplica.Range{From: int(s.GetFromLayer()), To: int(s.GetToLayer())},
 		})
 	}
+	for _, g := range request.GetGivenOrders() {
+		n.ordered(mangolayout.Given{
+			Replica: mangoreplica.Incarnation{ID: g.GetReplica(), Born: g.GetBorn()},
+			Layers:  mangoreplica.Range{From: int(g.GetFromLayer()), To: int(g.GetToLayer())},
+			Until:   now.Add(time.Duration(g.GetLeftMs()) * time.Millisecond),
+		})
+	}
+	if c := request.GetClaim(); c != nil {
+		n.claimed(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
+	}
 	n.suspects.Merge(request.GetSuspicions(), now)
 	fleet := n.state.View().Fleet
 	for _, o := range request.GetOutages() {
--- a/internal/mangostate/feed.go
+++ b/internal/mangostate/feed.go
@@ -27,6 +27,8 @@
 	// Key and Value are a key of the daemons' own; an empty value means that it is gone.
 	Key   string
 	Value string
+	// Revision is that of the item of Key.
+	Revision uint64
 	// Invalid says why an item could not be read; Key names it.
 	Invalid error
 }
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -21,7 +21,9 @@
 	// missing has the replicas whose entries went away while the store was unwell.
 	missing map[string]bool
 	keys    map[string]string
-	listed  bool
+	// fence is the highest revision seen of the key of placement, whose holder may be gone.
+	fence  uint64
+	listed bool
 	// reachable is false from a failed call to the next answer; returned is the time of that answer.
 	reachable bool
 	returned  time.Time
@@ -89,7 +91,7 @@
 		case c.ReplicaGone != "":
 			replicas = s.loseReplica(c.ReplicaGone, now) || replicas
 		default:
-			changed = s.takeKey(c.Key, c.Value) || changed
+			changed = s.takeKey(c.Key, c.Value, c.Revision) || changed
 		}
 	}
 	return s.rebuild(replicas) || changed
@@ -132,7 +134,7 @@
 	}
 	for k := range s.keys {
 		if !keys[k] {
-			changed = s.takeKey(k, "") || changed
+			changed = s.takeKey(k, "", 0) || changed
 		}
 	}
 	return s.rebuild(replicas) || changed
@@ -252,7 +254,10 @@
 	return s.rebuild(changed)
 }
 
-func (s *state) takeKey(key, value string) bool {
+func (s *state) takeKey(key, value string, revision uint64) bool {
+	if key == PlacementKey && value != "" {
+		s.fence = max(s.fence, revision)
+	}
 	if s.keys[key] == value {
 		return false
 	}
@@ -271,6 +276,6 @@
 func (s *state) view() *View {
 	return &View{
 		Table: s.table, Fleet: s.fleet, Members: membersOf(s.keys), Listed: s.listed, Revision: s.revision,
-		At: s.at, Reachable: s.reachable, keys: s.keys,
+		At: s.at, Reachable: s.reachable, Fence: s.fence, keys: s.keys,
 	}
 }
--- a/internal/mangostate/view.go
+++ b/internal/mangostate/view.go
@@ -38,7 +38,9 @@
 	At time.Time
 	// Reachable says that the store answered the last call.
 	Reachable bool
-	keys      map[string]string
+	// Fence is the fencing number of the last daemon that was seen to hold the placement; 0 if none was.
+	Fence uint64
+	keys  map[string]string
 }
 
 // Holder returns the value of a key of the daemons' own.
