--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -79,20 +79,6 @@
 	return &Response{Response: response, conn: patient, stop: stop}, nil
 }
 
-func (d *Dialer) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	dialing, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := d.dialer.DialContext(dialing, "tcp", address)
-	if err != nil {
-		return nil, &Error{Op: "Connect", Kind: KindUnsent, Err: err}
-	}
-	if ctx.Err() != nil {
-		_ = conn.Close()
-		return nil, &Error{Op: "Connect", Kind: KindUnsent, Err: ctx.Err()}
-	}
-	return conn, nil
-}
-
 func exchange(conn *patientConn, request *http.Request) (*http.Response, error) {
 	var out bytes.Buffer
 	if err := request.Write(&out); err != nil {
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -77,6 +77,8 @@
 type Engines interface {
 	Place(ctx context.Context, o Order) (Outcome, error)
 	Report(ctx context.Context, r *mangoreplica.Replica) (Report, error)
+	// Reach reports whether a replica accepts a connection within a time.
+	Reach(ctx context.Context, r *mangoreplica.Replica, timeout time.Duration) error
 }
 
 // Tenure says whether this daemon may give orders, and under which fencing number.
@@ -137,11 +139,15 @@
 	pending map[mangoreplica.Incarnation]pending
 	// orders has the number of accepted orders of replicas, as far as is known.
 	orders map[mangoreplica.Incarnation]uint64
+	// doubts has what was found out about replicas that seem to be lost.
+	doubts map[mangoreplica.Incarnation]doubt
 	// surveyed is the time of the last survey; zero if there was none since this daemon places layers without the store.
 	surveyed  time.Time
 	surveying bool
 	// seen is the number of replicas of a service that holds no layers, since when and from when on.
 	seen map[string]settling
+	// running are the goroutines of orders, surveys and checks.
+	running sync.WaitGroup
 }
 
 type settling struct {
@@ -173,6 +179,7 @@
 		state: state, tenure: tenure, engines: engines, board: board, logger: logrus.StandardLogger(),
 		observe: func(string, string) {}, sighted: func(mangoreplica.Sighting) {}, given: func(Given) {}, pending: map[mangoreplica.Incarnation]pending{},
 		orders: map[mangoreplica.Incarnation]uint64{}, seen: map[string]settling{},
+		doubts: map[mangoreplica.Incarnation]doubt{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -184,8 +191,7 @@
 func (p *Placer) Run(ctx context.Context) error {
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	var orders sync.WaitGroup
-	defer orders.Wait()
+	defer p.running.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -200,11 +206,11 @@
 		}
 		if p.state.View().Reachable {
 			p.endSurveys()
-		} else if !p.known(ctx, &orders) {
+		} else if !p.known(ctx) {
 			continue
 		}
-		for _, o := range p.round(fence, time.Now()) {
-			orders.Go(func() { p.give(ctx, o) })
+		for _, o := range p.round(ctx, fence, time.Now()) {
+			p.running.Go(func() { p.give(ctx, o) })
 		}
 	}
 }
@@ -238,7 +244,7 @@
 }
 
 // round returns the orders to give now and notes them as pending.
-func (p *Placer) round(fence uint64, now time.Time) []assigned {
+func (p *Placer) round(ctx context.Context, fence uint64, now time.Time) []assigned {
 	view := p.state.View()
 	if view.Table == nil {
 		return nil
@@ -250,7 +256,7 @@
 		if s.Engine == nil || s.Engine.Layers <= 0 {
 			continue
 		}
-		states, loading := p.holdings(view.Fleet.Of(name), now)
+		states, loading := p.holdings(ctx, view.Fleet.Of(name), now)
 		if !p.settled(name, states, now) {
 			continue
 		}
@@ -272,13 +278,14 @@
 }
 
 // holdings returns the replicas that count, with the orders on their way, and the number of these.
-func (p *Placer) holdings(replicas []*mangoreplica.Replica, now time.Time) ([]Holding, int) {
+func (p *Placer) holdings(ctx context.Context, replicas []*mangoreplica.Replica, now time.Time) ([]Holding, int) {
 	outages := p.board.Outages(now)
+	p.settleDoubts(now)
 	var states []Holding
 	loading := 0
 	for _, r := range replicas {
 		i := r.Incarnation()
-		if o, ok := outages[i]; r.Draining || (ok && (o.Cause.Lost() || o.Cause == mangoreplica.CauseLeaving)) {
+		if o, ok := outages[i]; r.Draining || (ok && p.lost(ctx, r, o.Cause, now)) {
 			continue
 		}
 		requests, _ := p.board.InFlight(r.ID)
--- a/internal/mangolayout/survey.go
+++ b/internal/mangolayout/survey.go
@@ -19,12 +19,12 @@
 
 // known reports whether the layers of the replicas are known although the store is away. Their entries then say nothing of
 // what was ordered since, and another daemon may have given the last orders, so all replicas are asked.
-func (p *Placer) known(ctx context.Context, running *sync.WaitGroup) bool {
+func (p *Placer) known(ctx context.Context) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.surveying && time.Since(p.surveyed) > surveyInterval {
 		p.surveying = true
-		running.Go(func() { p.survey(ctx) })
+		p.running.Go(func() { p.survey(ctx) })
 	}
 	return !p.surveyed.IsZero()
 }
--- a/internal/mangolayout/survey_test.go
+++ b/internal/mangolayout/survey_test.go
@@ -37,6 +37,10 @@
 	return f.report, f.err
 }
 
+func (f *fakeEngines) Reach(context.Context, *mangoreplica.Replica, time.Duration) error {
+	return f.err
+}
+
 func (f *fakeEngines) given() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -21,6 +21,8 @@
 	Exchange(
 		ctx context.Context, address string, request *http.Request, connect time.Duration, wait *mangoconn.Wait,
 	) (*mangoconn.Response, error)
+	// Reach reports whether a connection can be made within a time.
+	Reach(ctx context.Context, address string, timeout time.Duration) error
 }
 
 // State returns what is known from the store.
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,9 +211,9 @@
 }
 
 func (r *Relay) check(ctx context.Context, replica *mangoreplica.Replica, request string, aboard []string) {
-	conn, err := (&net.Dialer{Timeout: checkTimeout}).DialContext(ctx, "tcp", replica.Address)
+	err := r.dialer.Reach(ctx, replica.Address, checkTimeout)
 	if err == nil {
-		_ = conn.Close()
+		r.reached(replica, request)
 		return
 	}
 	if ctx.Err() != nil {
@@ -225,6 +224,14 @@
 	r.aboard.wake(replica.Incarnation())
 }
 
+// reached notes that a replica accepts connections although it was found out of reach, by this daemon or another one.
+func (r *Relay) reached(replica *mangoreplica.Replica, request string) {
+	if r.board.Reached(replica.Incarnation(), time.Now()) {
+		r.logger.WithFields(logrus.Fields{"event": "replica_back", "replica": replica.ID, "address": replica.Address, "request": request}).
+			Info("an avoided replica accepts connections")
+	}
+}
+
 // Suspect checks in the background a replica that another part of this daemon or another daemon found lost. It never blocks.
 func (r *Relay) Suspect(replica *mangoreplica.Replica) {
 	r.verify(replica, "", r.aboard.fingerprints(replica.Incarnation()))
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -113,6 +113,21 @@
 	return min(refusedHold<<max(min(n, 8)-1, 0), refusedMax)
 }
 
+// Reached removes an outage of a replica that could not be connected to; it reports whether there was one.
+func (b *Board) Reached(r Incarnation, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o, ok := b.outages[r]
+	if !ok || !o.Until.After(now) {
+		return false
+	}
+	if o.Cause != CauseUnreachable && o.Cause != CauseReset && o.Cause != CauseEnded {
+		return false
+	}
+	delete(b.outages, r)
+	return true
+}
+
 // Served notes that replicas took part in an answer, so that earlier refusals no longer count.
 func (b *Board) Served(replicas ...Incarnation) {
 	b.mu.Lock()
