End idle connections of callers when a daemon stops

Cause: callers keep connections open, and the load balancer does not move them.

Change: from the signal on, connections that served a request and carry none are closed; the callers' next connections go to other daemons. A line says how many and how long the stop took.

Test: TestIdleConnectionsEnd.

--- /dev/null
+++ b/internal/mangoentry/connections_test.go
@@ -0,0 +1,60 @@
+package mangoentry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against callers that send their next request on a kept connection to a daemon that stops, and are refused,
+// although other daemons serve; and against the end of a connection whose request is being served.
+func TestIdleConnectionsEnd(t *testing.T) {
+	is := is.New(t)
+	conns := newConnections()
+	release := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	server.Config.ConnState = conns.note
+	server.Start()
+	defer server.Close()
+	get := func(path string) (string, error) {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+path, nil)
+		if err != nil {
+			return "", err
+		}
+		response, err := (&http.Client{Transport: &http.Transport{}}).Do(request)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	_, err := get("/quick")
+	is.NoErr(err)
+	slow := make(chan error, 1)
+	go func() {
+		body, err := get("/slow")
+		if err == nil && body != "done" {
+			err = io.ErrUnexpectedEOF
+		}
+		slow <- err
+	}()
+	until := time.Now().Add(5 * time.Second)
+	closed := 0
+	for closed == 0 && time.Now().Before(until) {
+		closed += conns.closeIdle()
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(closed, 1)
+	close(release)
+	is.NoErr(<-slow)
+}
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -112,6 +112,8 @@
 	duties, resign := context.WithCancel(inner)
 	defer resign()
 	callers, readiness, metrics := newServer(d.logger), newServer(d.logger), newServer(d.logger)
+	conns := newConnections()
+	callers.ConnState = conns.note
 	readiness.Handler, metrics.Handler = readinessHandler(d.ready), metricsHandler(d.registry)
 	ended := make(chan part)
 	running := 0
@@ -145,7 +147,7 @@
 			d.phase.begin(time.Now().Add(min(rotationTime, limit)), time.Now().Add(limit-lastRequest))
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.phase.active.Load()}).Info("the daemon stops")
 			resign()
-			d.drain()
+			d.drain(conns)
 			failed = ctx.Err()
 		case p := <-ended:
 			running--
@@ -169,15 +171,20 @@
 }
 
 // drain waits until the load balancer sends no more callers and all requests are answered, within the grace period.
-func (d *Daemon) drain() {
+func (d *Daemon) drain(conns *connections) {
 	begun := time.Now()
 	limit := d.drainLimit()
+	closed := 0
 	for time.Since(begun) < limit {
+		closed += conns.closeIdle()
 		if time.Since(begun) >= min(rotationTime, limit) && d.phase.active.Load() == 0 {
-			return
+			break
 		}
 		time.Sleep(stopStep)
 	}
+	d.logger.WithFields(logrus.Fields{
+		"event": "drained", "active": d.phase.active.Load(), "idle_closed": closed, "took_ms": time.Since(begun).Milliseconds(),
+	}).Info("the requests in hand have ended or their time is over")
 }
 
 // drainLimit is the longest time from the signal to stop to the end.
