Turn streams away by the wait for their first event

Change: mangodelay estimates the wait at each data centre from the last first events and from the age of the requests that still wait. The choice of a chain takes the wait into account, and a new stream is refused with 503 before it is sent when the wait is beyond the route's target, some at once the target and all at twice. The time to come back is spread over 1 s to 3 s; callers that came back are taken up to a longer wait.

Tests: TestEstimate, TestOverloaded.

--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -62,8 +62,9 @@
 	Tokens float64
 	// Exclude reports whether a replica must not be used; nil excludes none.
 	Exclude func(id string) bool
-	// Penalty adds to the cost of data centres in which the request failed before.
-	Penalty map[string]time.Duration
+	// Penalty adds to the cost of a data centre, for a queue there or because the request failed there before; nil adds
+	// nothing.
+	Penalty func(dataCentre string) time.Duration
 	// Random returns numbers in [0, 1).
 	Random func() float64
 }
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -38,7 +38,9 @@
 			if g.dataCentre != view.Local {
 				c.Cost += remoteCost
 			}
-			c.Cost += request.Penalty[g.dataCentre]
+			if request.Penalty != nil {
+				c.Cost += request.Penalty(g.dataCentre)
+			}
 			if c.Cost < best.Cost {
 				best, found = c, true
 			}
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/internal/mangosuspect"
@@ -86,9 +87,11 @@
 	// sendBegan is the time of the last send, and sendFirst the time from then to its first event.
 	sendBegan time.Time
 	sendFirst time.Duration
-	events    eventBuffer
-	status    int
-	outcome   string
+	// delay is the wait of the last send for its first event; nil for plain services and streams that have begun.
+	delay   *mangodelay.Send
+	events  eventBuffer
+	status  int
+	outcome string
 	// answered is the status of the last answer of an upstream, and fault the replica that a refusal named.
 	answered int
 	fault    string
@@ -224,6 +227,9 @@
 		if !ok {
 			return c.conclude("NoUpstream", retryEmpty)
 		}
+		if c.sends == 0 && c.overloaded(t) {
+			return c.conclude("Overloaded", c.comeBack())
+		}
 		if reason := c.mayNotSend(); reason != "" {
 			return c.conclude(reason, retryFull)
 		}
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -11,6 +11,7 @@
 
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/internal/mangosuspect"
@@ -96,6 +97,7 @@
 	checks   *probes
 	health   *probes
 	pace     pace
+	delays   *mangodelay.Delays
 	// tasks are checks of replicas that wait for Run.
 	tasks chan func(ctx context.Context)
 }
@@ -133,7 +135,7 @@
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
 		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
 		closing: func() bool { return false }, closed: func(bool) bool { return false }, aboard: newManifest(), probes: newProbes(probeInterval),
-		checks: newProbes(probeInterval), health: newProbes(healthInterval),
+		checks: newProbes(probeInterval), health: newProbes(healthInterval), delays: mangodelay.New(),
 		tasks: make(chan func(ctx context.Context), maxTasks),
 	}
 	for _, o := range opts {
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -68,6 +68,9 @@
 	if c.sendFirst == 0 {
 		c.sendFirst = c.lastEvent.Sub(c.sendBegan)
 		c.relay.board.Served(t.incarnations()...)
+		if c.delay != nil {
+			c.delay.First(c.lastEvent)
+		}
 	}
 	if _, err := c.writer.Write(events); err != nil {
 		return err
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -51,7 +51,7 @@
 
 func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
 	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
-		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penalty, Random: c.relay.random,
+		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penaltyOf, Random: c.relay.random,
 	})
 	if err != nil {
 		return target{}, false
@@ -62,6 +62,12 @@
 	}, true
 }
 
+// penaltyOf returns what speaks against a data centre: the wait for a first event there, and earlier failures of this
+// request.
+func (c *call) penaltyOf(dataCentre string) time.Duration {
+	return c.penalty[dataCentre] + c.relay.delays.Estimate(c.serviceName, dataCentre, time.Now())
+}
+
 // excluded reports whether a replica must not be used for this request.
 func (c *call) excluded(id string) bool { return c.exclude[id] || c.full[id] }
 
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -49,6 +49,7 @@
 		wait.Wake()
 	})()
 	c.sendBegan, c.sendFirst = began, 0
+	defer c.measure(t, began)()
 	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, wait)
 	if err != nil {
 		return c.broken(outer, inner, t, err)
