Prefer replicas that fail fewer of their requests

Cause: a replica that lost or failed 40% of its answers while its health was good got as many requests as the others; a stream has two attempts, and a request that may not be repeated has one.

Tests: TestFaults, TestChooseAvoidsFaultyFirst.

--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -41,6 +41,8 @@
 	Avoided(r mangoreplica.Incarnation, now time.Time) bool
 	// Out reports whether a request through the replica is sure to fail.
 	Out(r mangoreplica.Incarnation, now time.Time) bool
+	// Faults returns the share of requests that the replica is expected to fail as the first of a chain.
+	Faults(r mangoreplica.Incarnation, now time.Time) float64
 	InFlight(id string) (requests int, tokens float64)
 }
 
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -18,6 +18,8 @@
 	jitter = 0.15
 	// avoidedFactor makes a replica that is avoided the last resort.
 	avoidedFactor = 50
+	// faultCost is the cost of a request that its first replica fails, which takes one of its few attempts.
+	faultCost = 200 * time.Millisecond
 	// maxPressure bounds the pressure in the cost, which grows without limit towards 1.
 	maxPressure = 0.97
 )
@@ -71,6 +73,8 @@
 	replica  *mangoreplica.Replica
 	perLayer float64
 	pressure float64
+	// faults is the share of requests that the replica fails as the first of a chain.
+	faults float64
 }
 
 // site has the candidates of one data centre.
@@ -119,7 +123,10 @@
 		_, tokens := view.Loads.InFlight(r.ID)
 		pressure = (tokens*float64(max(view.Daemons, 1)) + request.Tokens) / capacity
 	}
-	return candidate{replica: r, perLayer: step / (1 - min(pressure, maxPressure)), pressure: pressure}
+	return candidate{
+		replica: r, perLayer: step / (1 - min(pressure, maxPressure)), pressure: pressure,
+		faults: view.Loads.Faults(r.Incarnation(), view.Now),
+	}
 }
 
 // cheapest returns the cheapest way from the first to the last layer. Each part is used to the end of its layers: any
@@ -134,7 +141,11 @@
 			if c.replica.Layers.From > at || to <= at {
 				continue
 			}
-			if total := c.perLayer*float64(to-at) + float64(hopCost) + cost[to]; total < cost[at] {
+			total := c.perLayer*float64(to-at) + float64(hopCost) + cost[to]
+			if at == 0 {
+				total += c.faults * float64(faultCost)
+			}
+			if total < cost[at] {
 				cost[at], next[at] = total, i
 			}
 		}
--- a/internal/mangopipeline/choose_test.go
+++ b/internal/mangopipeline/choose_test.go
@@ -172,3 +172,20 @@
 		})
 	}
 }
+
+// Guards against chains that begin at a replica that loses a part of its answers although another one holds the same
+// layers.
+func TestChooseAvoidsFaultyFirst(t *testing.T) {
+	is := is.New(t)
+	board, now := mangoreplica.NewBoard(), time.Unix(1000, 0)
+	one, two, rest := replica("1", "x", "a", 0, 8), replica("2", "x", "a", 0, 8), replica("3", "x", "a", 8, 16)
+	for range 4 {
+		board.Result(one.Incarnation(), true, now)
+		board.Result(rest.Incarnation(), true, now)
+	}
+	chain, err := Choose(View{
+		Replicas: []*mangoreplica.Replica{one, two, rest}, Engine: engine(16), Loads: board, Local: "x", Daemons: 1, Now: now,
+	}, Request{Random: still})
+	is.NoErr(err)
+	is.Equal(chain.IDs(), []string{"2", "3"})
+}
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		if err == io.EOF && len(c.events.pending) == 0 {
-			return c.complete(a)
+			return c.complete(t, a)
 		}
 		return c.interrupted(c.after(outer, inner, t, mangoconn.KindOf(inner, err), err))
 	}
@@ -78,11 +78,12 @@
 	return c.control.Flush()
 }
 
-func (c *call) complete(a Answer) result {
+func (c *call) complete(t target, a Answer) result {
 	if !c.started {
 		c.head(a, -1)
 	}
 	c.relay.suspects.Complete(c.fingerprint, time.Now())
+	c.relay.board.Result(t.first.Incarnation(), false, time.Now())
 	return delivered
 }
 
@@ -118,6 +119,7 @@
 		return c.after(outer, inner, t, mangoconn.KindOf(inner, err), err)
 	}
 	b := &buffered{answer: a, status: a.Status, body: body}
+	c.relay.board.Result(t.first.Incarnation(), a.Status >= http.StatusInternalServerError, time.Now())
 	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.failure = b
 		c.exclude[t.first.ID] = true
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -32,6 +32,8 @@
 const (
 	// remoteBusy is the share of slots in use that weighs as much as another data centre.
 	remoteBusy = 0.25
+	// faultBusy is the share of slots in use that weighs as much as a replica that fails all requests.
+	faultBusy = 2
 	// spread is the random part of the cost of a replica of a plain service, as a share of its slots.
 	spread = 0.05
 )
@@ -90,6 +92,7 @@
 			continue
 		}
 		cost := c.relay.board.Busy(r.ID, r.Slots, now) + spread*c.relay.random()
+		cost += faultBusy * c.relay.board.Faults(r.Incarnation(), now)
 		if r.DataCentre != c.relay.local {
 			cost += remoteBusy
 		}
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -68,6 +68,7 @@
 		c.runs++
 		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
 		return lost
 	}
 	c.runs++
@@ -140,6 +141,7 @@
 		c.relay.avoid(t.first, causeOf(err), holdLost, c.request.ID)
 		return unsent
 	case mangoconn.KindBroken:
+		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
 		c.relay.verify(t.first, c.request.ID, c.relay.aboard.fingerprints(t.first.Incarnation()))
 	case mangoconn.KindTimeout:
 		if len(t.parts) == 0 {
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -1,6 +1,7 @@
 package mangoreplica
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -61,12 +62,13 @@
 	outages map[Incarnation]Outage
 	// refusals has the number of refusals of a replica in a row, counted once in each time of avoidance.
 	refusals map[Incarnation]int
+	faults   map[Incarnation]faults
 	loads    map[string]*load
 }
 
 // NewBoard returns a board without observations.
 func NewBoard() *Board {
-	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, loads: map[string]*load{}}
+	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, faults: map[Incarnation]faults{}, loads: map[string]*load{}}
 }
 
 // weight orders causes by what they say: a replica is in trouble, is probably lost, or is sure to fail.
@@ -253,9 +255,10 @@
 			delete(b.loads, id)
 		}
 	}
-	for i := range b.refusals {
-		if r := fleet.ByID(i.ID); r == nil || r.Born != i.Born {
-			delete(b.refusals, i)
-		}
+	gone := func(i Incarnation, _ int) bool {
+		r := fleet.ByID(i.ID)
+		return r == nil || r.Born != i.Born
 	}
+	maps.DeleteFunc(b.refusals, gone)
+	maps.DeleteFunc(b.faults, func(i Incarnation, _ faults) bool { return gone(i, 0) })
 }
--- a/internal/mangoreplica/board_test.go
+++ b/internal/mangoreplica/board_test.go
@@ -75,3 +75,31 @@
 		})
 	}
 }
+
+// Guards against a replica that loses or fails a part of its answers and gets as many requests as the others, and against
+// one that never gets another try.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name      string
+		results   []bool
+		age       int
+		low, high float64
+	}{
+		{"never failed", []bool{false, false}, 0, 0, 0},
+		{"failed once", []bool{true}, 0, 0.19, 0.21},
+		{"fails every second request", []bool{true, false, true, false, true, false, true, false}, 0, 0.3, 0.5},
+		{"fails all", []bool{true, true, true, true, true, true, true, true, true, true}, 0, 0.85, 1},
+		{"failed some time ago", []bool{true, true, true, true}, 8000, 0, 0.05},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, r := NewBoard(), Incarnation{ID: "r"}
+			for _, failed := range tt.results {
+				b.Result(r, failed, at(0))
+			}
+			if got := b.Faults(r, at(tt.age)); got < tt.low || got > tt.high {
+				t.Errorf("%v is not between %v and %v", got, tt.low, tt.high)
+			}
+		})
+	}
+}
