Leave silent chains at the times meant for a first attempt

Cause: the head of an answer counts the attempt, and the limits of silence counted the present one once more.

Change: the limits know whether the present send is counted. They follow the usual pause of the stream, so that slow replicas are not left for others that are as slow, and a request that waits in a queue does not leave it for its end.

Tests: TestLimitsOfAttempts, TestQueueIsNotLeft failed before.

--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -84,9 +84,13 @@
 	// lastEvent is the time at which events were last passed on, and longestGap the longest pause between them.
 	lastEvent  time.Time
 	longestGap time.Duration
+	// usualGap is the mean of the last pauses.
+	usualGap time.Duration
 	// sendBegan is the time of the last send, and sendFirst the time from then to its first event.
 	sendBegan time.Time
 	sendFirst time.Duration
+	// sendRuns says that the last send is counted among the runs.
+	sendRuns bool
 	// delay is the wait of the last send for its first event; nil for plain services and streams that have begun.
 	delay   *mangodelay.Send
 	events  eventBuffer
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -14,6 +14,8 @@
 const (
 	// streamBuffer holds the events that arrive together.
 	streamBuffer = 4 << 10
+	// gapWeight is the number of pauses that the mean of a stream's pauses follows.
+	gapWeight = 8
 	// maxBuffered bounds an answer that is gathered before it is passed on.
 	maxBuffered = 16 << 20
 )
@@ -62,7 +64,9 @@
 		c.relay.observer.FirstEvent(c.route.Name, c.firstEvent)
 		c.relay.pace.note(c.firstEvent)
 	} else {
-		c.longestGap = max(c.longestGap, time.Since(c.lastEvent))
+		gap := time.Since(c.lastEvent)
+		c.longestGap = max(c.longestGap, gap)
+		c.usualGap += (gap - c.usualGap) / gapWeight
 	}
 	c.lastEvent = time.Now()
 	if c.sendFirst == 0 {
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -48,7 +48,7 @@
 		w.woken.Store(true)
 		wait.Wake()
 	})()
-	c.sendBegan, c.sendFirst = began, 0
+	c.sendBegan, c.sendFirst, c.sendRuns = began, 0, false
 	defer c.measure(t, began)()
 	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, wait)
 	if err != nil {
@@ -65,13 +65,13 @@
 	case answer.NotRun:
 		return c.refusedBy(t, answer, time.Since(began))
 	case !c.genuine(answer):
-		c.runs++
+		c.mayHaveRun()
 		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
 		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
 		return lost
 	}
-	c.runs++
+	c.mayHaveRun()
 	c.relay.trust(t.first, c.request.ID)
 	if c.route.Kind == mangoroute.Stream && success(answer.Status) {
 		return c.stream(outer, inner, t, answer, response)
@@ -122,11 +122,25 @@
 	kind := mangoconn.KindOf(inner, err)
 	if kind != mangoconn.KindUnsent {
 		c.arrivals++
-		c.runs++
+		c.mayHaveRun()
 	}
 	return c.after(outer, inner, t, kind, err)
 }
 
+// mayHaveRun counts the present send among those that may have run.
+func (c *call) mayHaveRun() {
+	c.runs++
+	c.sendRuns = true
+}
+
+// attempts returns the number of sends that may have run, with the present one.
+func (c *call) attempts() int {
+	if c.sendRuns {
+		return c.runs
+	}
+	return c.runs + 1
+}
+
 func (c *call) after(outer, inner context.Context, t target, kind mangoconn.Kind, err error) result {
 	switch {
 	case outer.Err() != nil:
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -18,10 +18,16 @@
 	// given up. The first event comes after about 60 ms on a calm day.
 	firstSoft = 250 * time.Millisecond
 	firstHard = 900 * time.Millisecond
+	// queueWaits is the least of these times in units of the wait that is usual for the chain's data centre at the moment.
+	queueWaits = 3
 	// gapSoft and gapHard are the same for the time between events, which is about 30 ms on a calm day. A stream is on
 	// time with pauses up to 200 ms, of which a new chain needs about 60.
 	gapSoft = 100 * time.Millisecond
 	gapHard = 600 * time.Millisecond
+	// softGaps and hardGaps are the least of these times in units of the usual pause of the stream: on slow replicas every
+	// pause is long, and another chain would be no better.
+	softGaps = 3
+	hardGaps = 8
 	// lastHard is the limit when no other chain may be tried; callers leave a stream after 2 s of silence.
 	lastHard = 2400 * time.Millisecond
 	// reportAfter is the silence after which the first replica is asked what it waits for; its report is about 200 ms old.
@@ -70,7 +76,7 @@
 // limits returns the times of silence after which the cause is looked for and the try is given up.
 func (w *watch) limits() (soft, hard time.Duration) {
 	c := w.call
-	another := c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts
+	another := c.route.Repeatable() && c.attempts() < c.route.MaxAttempts
 	switch {
 	case len(w.target.parts) == 0 && c.route.Kind != mangoroute.Stream:
 		if !another {
@@ -81,9 +87,11 @@
 	case !another:
 		return firstSoft, lastHard
 	case c.started:
-		return gapSoft, max(gapHard, 2*c.route.GapTarget)
+		return max(gapSoft, softGaps*c.usualGap), max(gapHard, 2*c.route.GapTarget, hardGaps*c.usualGap)
 	default:
-		return firstSoft, max(firstHard, c.relay.pace.slow())
+		// A request that waits in a queue gains nothing by waiting in it again from its end.
+		queue := queueWaits * c.relay.delays.Estimate(c.serviceName, w.target.dataCentre, time.Now())
+		return firstSoft, min(max(firstHard, c.relay.pace.slow(), queue), lastHard)
 	}
 }
 
--- a/internal/mangorelay/watch_test.go
+++ b/internal/mangorelay/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,66 @@
 	is.Equal(woken, map[string]int{"one": 2, "two": 1})
 	is.Equal(m.fingerprints(mangoreplica.Incarnation{ID: "r"}), []string{"one", "three"})
 }
+
+// Guards against a stream on its first attempt that is treated like one on its last: the head of its answer had counted the
+// attempt already, so that a lost part was looked for after 250 ms instead of 100 ms and a silent chain was left after
+// 2.4 s instead of 0.6 s.
+func TestLimitsOfAttempts(t *testing.T) {
+	tests := []struct {
+		name       string
+		runs       int
+		answered   bool
+		started    bool
+		soft, hard time.Duration
+	}{
+		{"first attempt without an answer", 0, false, false, firstSoft, firstHard},
+		{"first attempt with the head of an answer", 1, true, false, firstSoft, firstHard},
+		{"first attempt with events", 1, true, true, gapSoft, gapHard},
+		{"first attempt on slow replicas", 1, true, true, 3 * 180 * time.Millisecond, 8 * 180 * time.Millisecond},
+		{"last attempt without an answer", 1, false, true, firstSoft, lastHard},
+		{"last attempt with events", 2, true, true, firstSoft, lastHard},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCall(mangoreplica.NewBoard())
+			c.runs, c.sendRuns, c.started = tt.runs, tt.answered, tt.started
+			if strings.Contains(tt.name, "slow") {
+				c.usualGap = 180 * time.Millisecond
+			}
+			soft, hard := (&watch{call: c, target: chain("r", "s")}).limits()
+			is.Equal(soft, tt.soft)
+			is.Equal(hard, tt.hard)
+		})
+	}
+}
+
+// Guards against requests that leave a queue after 0.9 s and wait again from its end, or are lost for want of retries, when
+// a data centre that is cut off from the others has more load than it can take.
+func TestQueueIsNotLeft(t *testing.T) {
+	tests := []struct {
+		name    string
+		waiting time.Duration
+		hard    time.Duration
+	}{
+		{"no queue", 0, firstHard},
+		{"a short queue", 200 * time.Millisecond, firstHard},
+		{"a long queue", 700 * time.Millisecond, 2100 * time.Millisecond},
+		{"a queue beyond callers' patience", 5 * time.Second, lastHard},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCall(mangoreplica.NewBoard())
+			began := time.Now().Add(-tt.waiting)
+			if tt.waiting > 0 {
+				for range 4 {
+					c.relay.delays.Begin(c.serviceName, "a", began)
+				}
+			}
+			_, hard := (&watch{call: c, target: chain("r", "s")}).limits()
+			if hard < tt.hard || hard > tt.hard+100*time.Millisecond {
+				t.Errorf("%v instead of %v", hard, tt.hard)
+			}
+		})
+	}
+}
