Leave data centres alone that are seen in part only

Cause: the holder of the placement planned a data centre beyond a cut by what it still believed of it, and just after the cut by the few entries that were back. Each side also blamed the requests aboard for replicas it could no longer reach.

Change: a data centre is not planned while more than a third of its holders of layers are out of reach for no certain cause, nor for 1.5 s after that or after replicas appeared that hold layers already. A replica that is out of reach together with others of its data centre blames no request.

Tests: TestClarity.

--- /dev/null
+++ b/internal/mangolayout/clarity_test.go
@@ -0,0 +1,61 @@
+package mangolayout
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoreplica"
+)
+
+// Guards against orders to a data centre from beyond a cut, or just after it, when only a part of its replicas is in sight:
+// they cut the streams of replicas that serve, and lay out anew what is whole.
+func TestClarity(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	list := func(n int, layers mangoreplica.Range) []*mangoreplica.Replica {
+		var replicas []*mangoreplica.Replica
+		for i := range n {
+			replicas = append(replicas, &mangoreplica.Replica{ID: fmt.Sprint(i), DataCentre: "a", Layers: layers})
+		}
+		return replicas
+	}
+	held := mangoreplica.Range{To: 5}
+	tests := []struct {
+		name         string
+		before, then []*mangoreplica.Replica
+		unreachable  int
+		at           time.Duration
+		want         bool
+	}{
+		{"first sight", nil, list(12, held), 0, 0, true},
+		{"nothing changed", list(12, held), list(12, held), 0, 0, true},
+		{"one is out of reach", list(12, held), list(12, held), 1, 0, true},
+		{"one of two is out of reach", list(2, held), list(2, held), 1, 0, true},
+		{"half are out of reach", list(12, held), list(12, held), 6, 0, false},
+		{"half were out of reach a while ago", list(12, held), list(12, held), 6, 2 * time.Second, true},
+		{"one came back with layers", list(3, held), list(4, held), 0, 0, false},
+		{"one came back a while ago", list(3, held), list(4, held), 0, 2 * time.Second, true},
+		{"a new one is empty", list(3, held), append(list(3, held), &mangoreplica.Replica{ID: "new", DataCentre: "a"}), 0, 0, true},
+		{"some left", list(12, held), list(6, held), 0, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c, now := newClarity(), time.Unix(1000, 0)
+			if tt.before != nil {
+				c.look(tt.before, func(mangoreplica.Incarnation) bool { return false }, now, logger)
+			}
+			n := 0
+			c.look(tt.then, func(mangoreplica.Incarnation) bool {
+				n++
+				return n <= tt.unreachable
+			}, now, logger)
+			is.Equal(c.clear("a", now.Add(tt.at)), tt.want)
+		})
+	}
+}
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -138,7 +138,8 @@
 	mu      sync.Mutex
 	pending map[mangoreplica.Incarnation]pending
 	// orders has the number of accepted orders of replicas, as far as is known.
-	orders map[mangoreplica.Incarnation]uint64
+	orders  map[mangoreplica.Incarnation]uint64
+	clarity *clarity
 	// doubts has what was found out about replicas that seem to be lost.
 	doubts map[mangoreplica.Incarnation]doubt
 	// surveyed is the time of the last survey; zero if there was none since this daemon places layers without the store.
@@ -179,7 +180,7 @@
 		state: state, tenure: tenure, engines: engines, board: board, logger: logrus.StandardLogger(),
 		observe: func(string, string) {}, sighted: func(mangoreplica.Sighting) {}, given: func(Given) {}, pending: map[mangoreplica.Incarnation]pending{},
 		orders: map[mangoreplica.Incarnation]uint64{}, seen: map[string]settling{},
-		doubts: map[mangoreplica.Incarnation]doubt{},
+		doubts: map[mangoreplica.Incarnation]doubt{}, clarity: newClarity(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -233,6 +234,7 @@
 		}
 	}
 	clear(p.orders)
+	p.clarity = newClarity()
 	p.surveyed = time.Time{}
 }
 
@@ -251,12 +253,20 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settleDoubts(now)
+	p.clarity.forget(view.Fleet)
 	var orders []assigned
 	for name, s := range view.Table.Services() {
 		if s.Engine == nil || s.Engine.Layers <= 0 {
 			continue
 		}
-		states, loading := p.holdings(ctx, view.Fleet.Of(name), now)
+		replicas := view.Fleet.Of(name)
+		outages := p.board.Outages(now)
+		p.clarity.look(replicas, func(i mangoreplica.Incarnation) bool {
+			o, ok := outages[i]
+			return ok && o.Cause.Lost() && !o.Cause.Certain()
+		}, now, p.logger)
+		states, loading := p.holdings(ctx, replicas, outages, now)
 		if !p.settled(name, states, now) {
 			continue
 		}
@@ -278,9 +288,7 @@
 }
 
 // holdings returns the replicas that count, with the orders on their way, and the number of these.
-func (p *Placer) holdings(ctx context.Context, replicas []*mangoreplica.Replica, now time.Time) ([]Holding, int) {
-	outages := p.board.Outages(now)
-	p.settleDoubts(now)
+func (p *Placer) holdings(ctx context.Context, replicas []*mangoreplica.Replica, outages map[mangoreplica.Incarnation]mangoreplica.Outage, now time.Time) ([]Holding, int) {
 	var states []Holding
 	loading := 0
 	for _, r := range replicas {
@@ -288,6 +296,9 @@
 		if o, ok := outages[i]; r.Draining || (ok && p.lost(ctx, r, o.Cause, now)) {
 			continue
 		}
+		if !p.clarity.clear(r.DataCentre, now) {
+			continue
+		}
 		requests, _ := p.board.InFlight(r.ID)
 		s := Holding{Replica: r, Layers: r.Layers, Settled: true, Requests: requests}
 		if o, ok := p.pending[i]; ok {
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -115,6 +115,8 @@
 	// checkTimeout bounds a connection that only shows that a replica lives; the round trip within a data centre is well
 	// below a millisecond.
 	checkTimeout = 100 * time.Millisecond
+	// cutPause is the time for the other checks of a chain to end.
+	cutPause = 50 * time.Millisecond
 	// probeInterval is the least time between two questions to one replica; its report is about 200 ms old.
 	probeInterval = 150 * time.Millisecond
 	// healthInterval is the least time between two questions to one replica whether it takes requests.
@@ -227,11 +229,30 @@
 	if ctx.Err() != nil {
 		return
 	}
-	r.avoid(replica, causeOf(err), holdLost, request)
-	r.crashed(replica, aboard)
+	cause := causeOf(err)
+	r.avoid(replica, cause, holdLost, request)
+	if cause == mangoreplica.CauseEnded || !r.cutOff(ctx, replica) {
+		r.crashed(replica, aboard)
+	}
 	r.aboard.wake(replica.Incarnation())
 }
 
+// cutOff reports whether other replicas in the data centre are out of reach as well: then the way there is lost, and no
+// request crashed them. The checks of a chain end at about the same time, hence the pause.
+func (r *Relay) cutOff(ctx context.Context, replica *mangoreplica.Replica) bool {
+	sleep(ctx, cutPause)
+	outages := r.board.Outages(time.Now())
+	for _, o := range r.state.View().Fleet.Of(replica.Service) {
+		if o.ID == replica.ID || o.DataCentre != replica.DataCentre {
+			continue
+		}
+		if outage, ok := outages[o.Incarnation()]; ok && outage.Cause == mangoreplica.CauseUnreachable {
+			return true
+		}
+	}
+	return false
+}
+
 // reached notes that a replica accepts connections although it was found out of reach, by this daemon or another one.
 func (r *Relay) reached(replica *mangoreplica.Replica, request string) {
 	if r.board.Reached(replica.Incarnation(), time.Now()) {
