Tell the story of a request from log files

Cause: an engineer with the id of a failed request had to grep the logs of all daemons and to know which replicas to look for.

ID prints what was decided about the request, what the daemon that served it believed of the replicas that failed it, the orders to them, and what the logs lack: dropped or cut lines, sends without a line, no end. A request that found no chain says which data centres were whole.

--- a/cmd/mangopath/explain.go
+++ b/cmd/mangopath/explain.go
@@ -13,10 +13,16 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "print where a request would go and why", ArgsUsage: "NAME",
-		Description: `Example: mangopath explain tekst-model --prompt "Beschrijf deze kat"`,
-		Flags:       []cli.Flag{&cli.StringFlag{Name: "prompt", Usage: "`TEXT` whose cached prefix counts"}},
-		Action:      explain,
+		Name: "explain", Usage: "print where a request would go and why, or what became of one", ArgsUsage: "NAME | ID",
+		Description: `With --log the argument is the id of a request, and its story is told from the log files without a daemon.
+
+Example: mangopath explain tekst-model --prompt "Beschrijf deze kat"
+Example: mangopath explain --log edge-1.log --log edge-2.log 9c41d07be2a35f68`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "prompt", Usage: "`TEXT` whose cached prefix counts"},
+			&cli.StringSliceFlag{Name: "log", Usage: "log `FILE` of a daemon; may be given more than once"},
+		},
+		Action: explain,
 	}
 }
 
@@ -25,6 +31,13 @@
 	if err != nil {
 		return err
 	}
+	if files := c.StringSlice("log"); len(files) > 0 {
+		p, err := newPrinter(c)
+		if err != nil {
+			return err
+		}
+		return explainRequest(p, args[0], files)
+	}
 	s, err := openSession(c)
 	if err != nil {
 		return err
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,9 @@
 	retryCondemned = 5 * time.Second
 )
 
+// noUpstream is the outcome of requests for which no chain or replica was left.
+const noUpstream = "NoUpstream"
+
 // call is the life of one request.
 type call struct {
 	relay       *Relay
@@ -229,7 +233,7 @@
 			return false
 		}
 		if !ok {
-			return c.conclude("NoUpstream", retryEmpty)
+			return c.conclude(noUpstream, retryEmpty)
 		}
 		if c.sends == 0 && c.overloaded(t) {
 			return c.conclude("Overloaded", c.comeBack())
@@ -416,6 +420,9 @@
 		"sends": c.sends, "runs": c.runs, "first_ms": c.firstEvent.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
 		"took_ms": took.Milliseconds(),
 	})
+	if c.outcome == noUpstream {
+		entry = entry.WithField("covered", strings.Join(c.covered(), ","))
+	}
 	if c.outcome == "Delivered" {
 		entry.Info("a request ended")
 		return
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -1,6 +1,8 @@
 package mangorelay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mangopath.org/mangopath/internal/mangopipeline"
@@ -51,6 +53,18 @@
 	return c.chooseReplica(view.Fleet.Of(c.serviceName))
 }
 
+// covered returns the data centres whose usable replicas hold all layers.
+func (c *call) covered() []string {
+	if c.service == nil || c.service.Engine == nil {
+		return nil
+	}
+	view := c.relay.state.View()
+	covered := mangopipeline.Covered(mangopipeline.View{
+		Replicas: view.Fleet.Of(c.serviceName), Engine: c.service.Engine, Loads: c.relay.board, Now: time.Now(),
+	})
+	return slices.Sorted(maps.Keys(covered))
+}
+
 func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
 	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
 		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penaltyOf, Random: c.relay.random,
