Leave out replicas whose address has a new owner

Cause: a replica that crashed while the store was away started again under a new id at its old address. Its former entry stayed, requests through it were answered 421 by the new start, and the address in the refusal was taken for the new start, which was avoided instead.

Change: a fleet leaves out replicas whose address a later start has taken; a refusal that names an address is looked up among the parts of the chain first.

Tests: TestReusedAddress, TestRefusalNamesPartOfChain failed before.

--- a/internal/mangoliveness/monitor_test.go
+++ b/internal/mangoliveness/monitor_test.go
@@ -118,7 +118,7 @@
 			is := is.New(t)
 			var replicas []*mangoreplica.Replica
 			for i := range 40 {
-				replicas = append(replicas, replica(fmt.Sprintf("r-%d", i), "model", "127.0.0.1:1"))
+				replicas = append(replicas, replica(fmt.Sprintf("r-%d", i), "model", fmt.Sprintf("127.0.0.1:%d", 1000+i)))
 			}
 			v := view(tt.daemons, append(replicas, replica("p", "plain", "127.0.0.1:1"))...)
 			counts := map[string]int{}
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -179,12 +179,23 @@
 	}
 }
 
+// faultOf returns the replica that a refusal names by its address. It is a part of the chain if one has the address: a
+// later start may have taken the address from it.
+func (c *call) faultOf(t target, address string) *mangoreplica.Replica {
+	for _, p := range t.parts {
+		if p.Replica.Address == address {
+			return p.Replica
+		}
+	}
+	if r := c.relay.state.View().Fleet.ByAddress(address); r != nil {
+		return r
+	}
+	return t.first
+}
+
 // refusedBy decides what a refusal says about the replica that it names.
 func (c *call) refusedBy(t target, a Answer, took time.Duration) result {
-	fault := t.first
-	if r := c.relay.state.View().Fleet.ByAddress(a.FaultAt); r != nil {
-		fault = r
-	}
+	fault := c.faultOf(t, a.FaultAt)
 	c.full[fault.ID] = true
 	c.fault = fault.ID
 	switch {
--- a/internal/mangoreplica/fleet.go
+++ b/internal/mangoreplica/fleet.go
@@ -23,12 +23,17 @@
 		if o := f.byAddress[r.Address]; o == nil || o.Born <= r.Born {
 			f.byAddress[r.Address] = r
 		}
-		f.byService[r.Service] = append(f.byService[r.Service], r)
+	}
+	for _, r := range sorted {
+		// A replica whose address has a new owner has ended, also if its entry is still there.
+		if f.byAddress[r.Address] == r {
+			f.byService[r.Service] = append(f.byService[r.Service], r)
+		}
 	}
 	return f
 }
 
-// Of returns the replicas of a service in the order of their ids.
+// Of returns the replicas of a service in the order of their ids, without those whose address has a new owner.
 func (f *Fleet) Of(service string) []*Replica { return f.byService[service] }
 
 // ByID returns a replica, or nil.
