Reach a data centre that was cut off before it is planned again

Cause: nobody sends requests to a data centre that is cut off, so its outages ran out after 1.5 s while the cut lasted, and the placement took it for clear.

Test: TestClarityAfterCheck.

--- a/internal/mangolayout/clarity.go
+++ b/internal/mangolayout/clarity.go
@@ -18,15 +18,40 @@
 	clearAfter = 1500 * time.Millisecond
 )
 
+// sight is how well a data centre is seen.
+type sight struct {
+	// until is the end of the time in which it is not planned.
+	until time.Time
+	// doubted says that its replicas have to be reached before it is planned again.
+	doubted  bool
+	checking bool
+	// cut says that the last check did not reach them.
+	cut bool
+}
+
 // clarity knows which data centres are seen in part only. What is missing there is probably served by replicas out of
 // sight, and orders to the others would take layers from the requests that they run.
 type clarity struct {
-	known map[mangoreplica.Incarnation]bool
-	until map[string]time.Time
+	known  map[mangoreplica.Incarnation]bool
+	sights map[string]*sight
 }
 
 func newClarity() *clarity {
-	return &clarity{known: map[mangoreplica.Incarnation]bool{}, until: map[string]time.Time{}}
+	return &clarity{known: map[mangoreplica.Incarnation]bool{}, sights: map[string]*sight{}}
+}
+
+func (c *clarity) sight(dataCentre string) *sight {
+	s := c.sights[dataCentre]
+	if s == nil {
+		s = &sight{}
+		c.sights[dataCentre] = s
+	}
+	return s
+}
+
+// isCut reports whether the loss of some of the holders of layers looks like a cut.
+func isCut(missing, holders int) bool {
+	return missing >= cutLeast && float64(missing) > cutShare*float64(holders)
 }
 
 // look takes the replicas of a service; unreachable reports whether one is out of reach for no certain cause.
@@ -52,16 +77,18 @@
 		}
 	}
 	for dataCentre, n := range holders {
-		cut := missing[dataCentre] >= cutLeast && float64(missing[dataCentre]) > cutShare*float64(n)
+		cut := isCut(missing[dataCentre], n)
 		if !cut && back[dataCentre] == 0 {
 			continue
 		}
-		if !now.Before(c.until[dataCentre]) {
+		s := c.sight(dataCentre)
+		if !now.Before(s.until) && !s.doubted {
 			logger.WithFields(logrus.Fields{
 				"event": "data_centre_unclear", "data_centre": dataCentre, "holders": n, "missing": missing[dataCentre], "back": back[dataCentre],
 			}).Warn("a data centre is seen in part only; its layers stay where they are")
 		}
-		c.until[dataCentre] = now.Add(clearAfter)
+		s.until = now.Add(clearAfter)
+		s.doubted = s.doubted || cut
 	}
 }
 
@@ -76,5 +103,33 @@
 
 // clear reports whether a data centre can be planned.
 func (c *clarity) clear(dataCentre string, now time.Time) bool {
-	return !now.Before(c.until[dataCentre])
+	s := c.sights[dataCentre]
+	return s == nil || (!s.doubted && !now.Before(s.until))
+}
+
+// due returns the data centres whose replicas are to be reached now, and notes that this is done.
+func (c *clarity) due(now time.Time) []string {
+	var due []string
+	for dataCentre, s := range c.sights {
+		if s.doubted && !s.checking && !now.Before(s.until) {
+			s.checking = true
+			due = append(due, dataCentre)
+		}
+	}
+	return due
+}
+
+// checked takes the result of a check. A data centre that could not be reached before is planned a while later, when the
+// entries of all its replicas are back.
+func (c *clarity) checked(dataCentre string, missing, holders int, now time.Time) {
+	s := c.sight(dataCentre)
+	s.checking = false
+	if isCut(missing, holders) {
+		s.cut, s.until = true, now.Add(clearAfter)
+		return
+	}
+	if s.cut {
+		s.until = now.Add(clearAfter)
+	}
+	s.cut, s.doubted = false, false
 }
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -256,10 +256,12 @@
 	p.settleDoubts(now)
 	p.clarity.forget(view.Fleet)
 	var orders []assigned
+	var models []string
 	for name, s := range view.Table.Services() {
 		if s.Engine == nil || s.Engine.Layers <= 0 {
 			continue
 		}
+		models = append(models, name)
 		replicas := view.Fleet.Of(name)
 		outages := p.board.Outages(now)
 		p.clarity.look(replicas, func(i mangoreplica.Incarnation) bool {
@@ -284,6 +286,7 @@
 			})
 		}
 	}
+	p.reachDoubted(ctx, view.Fleet, models, now)
 	return orders
 }
 
