--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -31,19 +31,22 @@
 
 // New returns a dialer.
 func New() *Dialer {
-	return &Dialer{dialer: net.Dialer{
-		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxUnacknowledged.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
-	}}
+	return &Dialer{dialer: net.Dialer{KeepAlive: -1, Control: Unacknowledged(maxUnacknowledged)}}
+}
+
+// Unacknowledged returns a control function for net.Dialer that ends connections whose bytes are not acknowledged for a
+// time.
+func Unacknowledged(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
 }
 
 // Response is an answer whose body has not been read.
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -1,7 +1,6 @@
 package mangopipeline
 
 import (
-	"strings"
 	"time"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
@@ -33,9 +32,6 @@
 	return ids
 }
 
-// String lists the replicas as it appears in logs.
-func (c Chain) String() string { return strings.Join(c.IDs(), ">") }
-
 // Loads tells what is known about a replica beyond its entry.
 type Loads interface {
 	Avoided(r mangoreplica.Incarnation, now time.Time) bool
--- a/internal/mangopipeline/choose_test.go
+++ b/internal/mangopipeline/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,7 +124,7 @@
 				Request{Exclude: func(id string) bool { return tt.exclude[id] }, Random: still},
 			)
 			is.Equal(err == nil, tt.want != "")
-			is.Equal(chain.String(), tt.want)
+			is.Equal(strings.Join(chain.IDs(), ">"), tt.want)
 		})
 	}
 }
@@ -141,7 +142,7 @@
 		chain, err := Choose(view, Request{Tokens: 1000, Random: still})
 		is.NoErr(err)
 		board.Begin(1000, chain.IDs()...)
-		seen[chain.String()]++
+		seen[strings.Join(chain.IDs(), ">")]++
 	}
 	is.True(seen["near"] > seen["far"])
 	is.True(seen["far"] > 10)
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// defaultWait is the time that the store may hold a watch.
-	defaultWait = 10 * time.Second
+	// watchWait is the time that the store may hold a watch.
+	watchWait = 10 * time.Second
 	// deafAfter is the time for changes to arrive by the watch after another call has shown that there are some. A watch
 	// that is later than that is given up: it may wait on a connection that is dead, or at a store that dropped it.
 	deafAfter = 300 * time.Millisecond
-	// defaultBatch is the pause after an answer, so that a burst of changes comes as one.
-	defaultBatch = 120 * time.Millisecond
-	// defaultReturn is the time after the store's return within which entries that lapsed come back.
-	defaultReturn = 2200 * time.Millisecond
+	// batchPause is the pause after an answer, so that a burst of changes comes as one.
+	batchPause = 120 * time.Millisecond
+	// returnTime is the time after the store's return within which entries that lapsed come back.
+	returnTime = 2200 * time.Millisecond
 	// maxSightings bounds the sightings that wait for the control goroutine.
 	maxSightings = 256
 	minPause     = 100 * time.Millisecond
@@ -33,10 +33,6 @@
 	feed    Feed
 	board   *mangoreplica.Board
 	logger  logrus.FieldLogger
-	now     func() time.Time
-	wait    time.Duration
-	batch   time.Duration
-	grace   time.Duration
 	view    atomic.Pointer[View]
 	signals []chan struct{}
 	outside chan bool
@@ -53,26 +49,16 @@
 // WithLogger sets the logger of changes of belief.
 func WithLogger(l logrus.FieldLogger) Option { return func(c *Controller) { c.logger = l } }
 
-// WithWait sets the time that the store may hold a watch.
-func WithWait(d time.Duration) Option { return func(c *Controller) { c.wait = d } }
-
-// WithReturnTime sets the time after the store's return within which lapsed entries come back.
-func WithReturnTime(d time.Duration) Option { return func(c *Controller) { c.grace = d } }
-
-// WithClock replaces the clock.
-func WithClock(now func() time.Time) Option { return func(c *Controller) { c.now = now } }
-
 // New returns a controller that knows nothing yet.
 func New(feed Feed, board *mangoreplica.Board, opts ...Option) *Controller {
 	c := &Controller{
-		feed: feed, board: board, logger: logrus.StandardLogger(), now: time.Now,
-		wait: defaultWait, batch: defaultBatch, grace: defaultReturn, outside: make(chan bool, 1),
+		feed: feed, board: board, logger: logrus.StandardLogger(), outside: make(chan bool, 1),
 		shown: make(chan uint64, 1), seen: make(chan mangoreplica.Sighting, maxSightings), restart: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(c)
 	}
-	c.state = newState(c.logger, c.grace)
+	c.state = newState(c.logger, returnTime)
 	c.view.Store(&View{Fleet: mangoreplica.NewFleet(nil)})
 	return c
 }
@@ -136,7 +122,7 @@
 		<-ended
 	}()
 	// Lapsed entries are dropped and the view's reachability is kept up by the clock, too.
-	tick := time.NewTicker(c.grace / 8)
+	tick := time.NewTicker(returnTime / 8)
 	defer tick.Stop()
 	deaf := time.NewTimer(time.Hour)
 	defer deaf.Stop()
@@ -148,15 +134,15 @@
 		case a := <-answers:
 			c.apply(a)
 		case ok := <-c.outside:
-			if c.state.answered(ok, c.now()) {
+			if c.state.answered(ok, time.Now()) {
 				c.publish()
 			}
 		case <-tick.C:
-			if c.state.sweep(c.now()) {
+			if c.state.sweep(time.Now()) {
 				c.publish()
 			}
 		case s := <-c.seen:
-			if c.state.see(s, c.now()) {
+			if c.state.see(s, time.Now()) {
 				c.publish()
 			}
 		case revision := <-c.shown:
@@ -178,7 +164,7 @@
 // reread gives up the watch, whose connection or whose place at the store is lost.
 func (c *Controller) reread(awaited uint64) {
 	c.logger.WithFields(logrus.Fields{
-		"event": "watch_deaf", "revision": c.state.revision, "shown": awaited, "age_ms": c.now().Sub(c.state.at).Milliseconds(),
+		"event": "watch_deaf", "revision": c.state.revision, "shown": awaited, "age_ms": time.Since(c.state.at).Milliseconds(),
 	}).Warn("changes that the store has did not arrive; the watch is started again")
 	select {
 	case c.restart <- struct{}{}:
@@ -187,7 +173,7 @@
 }
 
 func (c *Controller) apply(a answer) {
-	now := c.now()
+	now := time.Now()
 	if a.err != nil {
 		changed := false
 		if !isHistory(a.err) {
@@ -222,7 +208,7 @@
 		} else {
 			a, restarted = c.watch(ctx, revision)
 		}
-		wait := c.batch
+		wait := batchPause
 		switch {
 		case restarted:
 			continue
@@ -267,7 +253,7 @@
 			stopped <- false
 		}
 	}()
-	a.changes, a.revision, a.err = c.feed.Watch(watching, revision, c.wait)
+	a.changes, a.revision, a.err = c.feed.Watch(watching, revision, watchWait)
 	close(done)
 	// An answer that came just before the end counts.
 	return a, <-stopped && a.err != nil
