Do not cut requests on replicas that are leaving for a copy's sake

Cause: the placement gave the layers of a leaving replica to a copy and had the requests that passed through the copy cut at once. Begun streams without room spent up to eleven retries each in the meantime.

Change: only copies for the layers of a replica that is lost do not wait. Begun streams pause 0.1 s to 0.4 s between refusals.

--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -281,7 +281,7 @@
 			i := m.Replica.Incarnation()
 			p.pending[i] = pending{layers: m.Layers, until: now.Add(orderTimeout + repeatAfter)}
 			orders = append(orders, assigned{
-				Order:  Order{Replica: m.Replica, Layers: m.Layers, Fence: fence, Urgent: m.Reason.Urgent()},
+				Order:  Order{Replica: m.Replica, Layers: m.Layers, Fence: fence, Urgent: m.Urgent},
 				engine: s.Engine, reason: m.Reason,
 			})
 		}
@@ -296,12 +296,18 @@
 	loading := 0
 	for _, r := range replicas {
 		i := r.Incarnation()
-		if o, ok := outages[i]; r.Draining || (ok && p.lost(ctx, r, o.Cause, now)) {
+		o, avoided := outages[i]
+		leaving := r.Draining || (avoided && o.Cause == mangoreplica.CauseLeaving)
+		if !leaving && avoided && p.lost(ctx, r, o.Cause, now) {
 			continue
 		}
 		if !p.clarity.clear(r.DataCentre, now) {
 			continue
 		}
+		if leaving {
+			states = append(states, Holding{Replica: r, Layers: r.Layers, Leaving: true})
+			continue
+		}
 		requests, _ := p.board.InFlight(r.ID)
 		s := Holding{Replica: r, Layers: r.Layers, Settled: true, Requests: requests}
 		if o, ok := p.pending[i]; ok {
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -17,6 +17,8 @@
 	Settled bool
 	// Requests is the number of requests of this daemon that pass through it.
 	Requests int
+	// Leaving replicas serve the requests that they have and no others; they count as holders of nothing.
+	Leaving bool
 }
 
 // Reason says what a move is for.
@@ -39,16 +41,14 @@
 	Trim Reason = "Trim"
 )
 
-// Urgent reports whether a move is not to wait for the requests that pass through the replica. The data centre does not
-// serve until the move is done, and only the few requests on one copy have to go on elsewhere.
-func (r Reason) Urgent() bool { return r == GapFromCopy }
-
 // Move is a change of the layers of a replica.
 type Move struct {
 	Replica *mangoreplica.Replica
 	Layers  mangoreplica.Range
 	// Reason says what the move is for.
 	Reason Reason
+	// Urgent moves do not wait for the requests that pass through the replica; these have to go on elsewhere.
+	Urgent bool
 }
 
 const (
@@ -87,7 +87,7 @@
 	slices.Sort(names)
 	var moves []Move
 	for _, n := range names {
-		p := &planner{engine: engine, states: sites[n]}
+		p := newPlanner(engine, sites[n])
 		moves = append(moves, p.plan()...)
 	}
 	return moves
@@ -101,6 +101,20 @@
 	room  float64
 	cover []int
 	moves []Move
+	// leaving has the layers of replicas that are leaving.
+	leaving []mangoreplica.Range
+}
+
+func newPlanner(engine *mangoroute.Engine, states []Holding) *planner {
+	p := &planner{engine: engine}
+	for _, s := range states {
+		if s.Leaving {
+			p.leaving = append(p.leaving, s.Layers)
+			continue
+		}
+		p.states = append(p.states, s)
+	}
+	return p
 }
 
 func (p *planner) plan() []Move {
@@ -256,6 +270,20 @@
 		}
 		n := min(p.size(p.states[i], p.room), max(gap.Len(), quickLoad))
 		p.take(i, p.window(gap, n), GapFromCopy)
+		p.hurry(gap)
+	}
+}
+
+// hurry makes the last move urgent if the requests in the data centre stall anyway, since the holder of the gap is lost and
+// not merely leaving. Requests that a leaving replica still serves are not cut for the sake of new ones.
+func (p *planner) hurry(gap mangoreplica.Range) {
+	for _, r := range p.leaving {
+		if r.From < gap.To && gap.From < r.To {
+			return
+		}
+	}
+	if len(p.moves) > 0 {
+		p.moves[len(p.moves)-1].Urgent = true
 	}
 }
 
--- a/internal/mangolayout/plan_test.go
+++ b/internal/mangolayout/plan_test.go
@@ -201,3 +201,39 @@
 		})
 	}
 }
+
+// Guards against requests that are cut because a copy takes over the layers of a replica that is leaving and still serves
+// them, and against a wait for requests that stall anyway because the holder of the layers is lost.
+func TestUrgency(t *testing.T) {
+	tests := []struct {
+		name    string
+		leaving bool
+		want    bool
+	}{
+		{"the holder is lost", false, true},
+		{"the holder is leaving", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			states := fleet(sites()[0])
+			settleAll(states)
+			var left []Holding
+			for _, s := range states {
+				if s.Replica.ID != "a100s-0" {
+					left = append(left, s)
+				} else if tt.leaving {
+					left = append(left, Holding{Replica: s.Replica, Layers: s.Layers, Leaving: true})
+				}
+			}
+			moves := Plan(engine(), left)
+			is.True(len(moves) > 0)
+			for _, m := range moves {
+				is.True(m.Replica.ID != "a100s-0")
+				if m.Reason == GapFromCopy {
+					is.Equal(m.Urgent, tt.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -50,6 +50,8 @@
 	exclude map[string]bool
 	full    map[string]bool
 	penalty map[string]time.Duration
+	// refusals counts the tries of a begun stream in a row that gave no event.
+	refusals int
 	// sends counts all tries, arrivals those that reached an upstream and runs those that may have run.
 	sends    int
 	arrivals int
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -16,6 +16,8 @@
 	emptyStep = 50 * time.Millisecond
 	// resumeStep is the pause before a begun stream tries replicas again that had no room for it.
 	resumeStep = 100 * time.Millisecond
+	// resumeStepMax bounds the pauses between tries, which double.
+	resumeStepMax = 400 * time.Millisecond
 	// callerPatience is the least time without an event after which callers leave a stream; they wait for patienceTargets
 	// times the target or patienceGaps times the longest pause if one of them is longer.
 	callerPatience  = 2 * time.Second
@@ -96,10 +98,23 @@
 				return c.conclude("MayHaveRun", 0)
 			}
 		case unsent, refused, failed:
+			c.backOff(inner)
 		}
 	}
 }
 
+// backOff lets a begun stream pause after its second refusal in a row and longer after each further one: the replicas have
+// no room, and each try costs one of the retries that all requests share.
+func (c *call) backOff(ctx context.Context) {
+	if !c.started {
+		return
+	}
+	if c.refusals > 0 {
+		sleep(ctx, min(resumeStep<<(c.refusals-1), resumeStepMax))
+	}
+	c.refusals++
+}
+
 // mayNotSend returns why another send is not allowed, or nothing.
 func (c *call) mayNotSend() string {
 	switch {
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -71,6 +71,7 @@
 	c.lastEvent = time.Now()
 	if c.sendFirst == 0 {
 		c.sendFirst = c.lastEvent.Sub(c.sendBegan)
+		c.refusals = 0
 		c.relay.board.Served(t.incarnations()...)
 		if c.delay != nil {
 			c.delay.First(c.lastEvent)
