Let begun streams go on at the replica that they run at

Cause: a stream that lost a later part of its chain on its last attempt was cut, although the first replica of the chain lives and others hold the lost layers. An attempt counted as used with each send.

Change: attempts count the replicas that may have run the request. A begun stream that has used them all goes on at one of them by other replicas behind it, within the shared budget and with growing pauses.

--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -60,6 +60,8 @@
 	Tokens float64
 	// Exclude reports whether a replica must not be used; nil excludes none.
 	Exclude func(id string) bool
+	// First reports whether a replica may be the first of the chain; nil allows all.
+	First func(id string) bool
 	// Penalty adds to the cost of a data centre, for a queue there or because the request failed there before; nil adds
 	// nothing.
 	Penalty func(dataCentre string) time.Duration
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -81,6 +81,8 @@
 type site struct {
 	dataCentre string
 	candidates []candidate
+	// first reports whether a replica may be the first of a chain; nil allows all.
+	first func(id string) bool
 }
 
 func group(view View, request Request, avoided bool) []*site {
@@ -99,7 +101,7 @@
 		}
 		s := index[r.DataCentre]
 		if s == nil {
-			s = &site{dataCentre: r.DataCentre}
+			s = &site{dataCentre: r.DataCentre, first: request.First}
 			index[r.DataCentre] = s
 			sites = append(sites, s)
 		}
@@ -138,7 +140,7 @@
 		cost[at], next[at] = math.Inf(1), -1
 		for i, c := range s.candidates {
 			to := min(c.replica.Layers.To, layers)
-			if c.replica.Layers.From > at || to <= at {
+			if c.replica.Layers.From > at || to <= at || (at == 0 && s.first != nil && !s.first(c.replica.ID)) {
 				continue
 			}
 			total := c.perLayer*float64(to-at) + float64(hopCost) + cost[to]
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -69,6 +69,8 @@
 	// sendBegan is the time of the last send, and sendFirst the time from then to its first event.
 	sendBegan time.Time
 	sendFirst time.Duration
+	// ranOn has the replicas that may have run the request, as the first of their chains.
+	ranOn map[string]bool
 	// sendRuns says that the last send is counted among the runs.
 	sendRuns bool
 	// delay is the wait of the last send for its first event; nil for plain services and streams that have begun.
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -74,7 +74,7 @@
 		if c.sends == 0 && c.overloaded(t) {
 			return c.conclude("Overloaded", c.comeBack())
 		}
-		if reason := c.mayNotSend(); reason != "" {
+		if reason := c.mayNotSend(t); reason != "" {
 			return c.conclude(reason, retryFull)
 		}
 		c.sends++
@@ -97,6 +97,12 @@
 			if !c.route.Repeatable() {
 				return c.conclude("MayHaveRun", 0)
 			}
+			if c.exhausted() {
+				if !c.started {
+					return c.conclude("TooManyAttempts", 0)
+				}
+				c.backOff(inner)
+			}
 		case unsent, refused, failed:
 			c.backOff(inner)
 		}
@@ -116,13 +122,13 @@
 }
 
 // mayNotSend returns why another send is not allowed, or nothing.
-func (c *call) mayNotSend() string {
+func (c *call) mayNotSend(t target) string {
 	switch {
 	case c.sends == 0:
 		return ""
 	case c.sends >= c.maxSends():
 		return "TooManySends"
-	case c.runs >= max(c.route.MaxAttempts, 1):
+	case c.exhausted() && (!c.started || !c.ranOn[t.first.ID]):
 		return "TooManyAttempts"
 	case c.runs > 0 && c.crashes():
 		return "CrashesUpstreams"
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -66,7 +66,12 @@
 }
 
 func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
+	var first func(id string) bool
+	if c.exhausted() {
+		first = func(id string) bool { return c.ranOn[id] }
+	}
 	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
+		First:  first,
 		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penaltyOf, Random: c.relay.random,
 	})
 	if err != nil {
@@ -85,7 +90,9 @@
 }
 
 // excluded reports whether a replica must not be used for this request.
-func (c *call) excluded(id string) bool { return c.exclude[id] || c.full[id] }
+func (c *call) excluded(id string) bool {
+	return c.exclude[id] || c.full[id] || (c.ranOn[id] && !c.exhausted())
+}
 
 // tokens estimates the memory of a request; the answer grows over its life, so half of it counts.
 func (c *call) tokens() float64 {
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -65,13 +65,13 @@
 	case answer.NotRun:
 		return c.refusedBy(t, answer, time.Since(began))
 	case !c.genuine(answer):
-		c.mayHaveRun()
+		c.mayHaveRun(t.first)
 		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
 		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
 		return lost
 	}
-	c.mayHaveRun()
+	c.mayHaveRun(t.first)
 	c.relay.trust(t.first, c.request.ID)
 	if c.route.Kind == mangoroute.Stream && success(answer.Status) {
 		return c.stream(outer, inner, t, answer, response)
@@ -122,25 +122,33 @@
 	kind := mangoconn.KindOf(inner, err)
 	if kind != mangoconn.KindUnsent {
 		c.arrivals++
-		c.mayHaveRun()
+		c.mayHaveRun(t.first)
 	}
 	return c.after(outer, inner, t, kind, err)
 }
 
 // mayHaveRun counts the present send among those that may have run.
-func (c *call) mayHaveRun() {
+func (c *call) mayHaveRun(first *mangoreplica.Replica) {
 	c.runs++
 	c.sendRuns = true
+	if c.ranOn == nil {
+		c.ranOn = map[string]bool{}
+	}
+	c.ranOn[first.ID] = true
 }
 
-// attempts returns the number of sends that may have run, with the present one.
+// attempts returns the number of replicas that may have run the request, with that of the present send.
 func (c *call) attempts() int {
 	if c.sendRuns {
-		return c.runs
+		return len(c.ranOn)
 	}
-	return c.runs + 1
+	return len(c.ranOn) + 1
 }
 
+// exhausted reports whether as many replicas as the route allows may have run the request. A stream that has begun can
+// still go on at one of them by other replicas behind it.
+func (c *call) exhausted() bool { return len(c.ranOn) >= max(c.route.MaxAttempts, 1) }
+
 func (c *call) after(outer, inner context.Context, t target, kind mangoconn.Kind, err error) result {
 	switch {
 	case outer.Err() != nil:
@@ -148,10 +156,10 @@
 	case inner.Err() != nil:
 		return expired
 	}
-	c.exclude[t.first.ID] = true
 	c.penalty[t.dataCentre] += retryPenalty
 	switch kind {
 	case mangoconn.KindUnsent:
+		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, causeOf(err), holdLost, c.request.ID)
 		return unsent
 	case mangoconn.KindBroken:
@@ -162,6 +170,7 @@
 			c.relay.avoid(t.first, mangoreplica.CauseSilent, holdFaulty, c.request.ID)
 		}
 	case mangoconn.KindInvalid, mangoconn.KindCancelled:
+		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
 	}
 	return lost
--- a/internal/mangorelay/watch_test.go
+++ b/internal/mangorelay/watch_test.go
@@ -1,6 +1,7 @@
 package mangorelay
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -116,7 +117,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCall(mangoreplica.NewBoard())
-			c.runs, c.sendRuns, c.started = tt.runs, tt.answered, tt.started
+			c.ranOn, c.sendRuns, c.started = map[string]bool{}, tt.answered, tt.started
+			for i := range tt.runs {
+				c.ranOn[fmt.Sprint(i)] = true
+			}
 			if strings.Contains(tt.name, "slow") {
 				c.usualGap = 180 * time.Millisecond
 			}
