--- a/internal/mangolayout/doc.go
+++ b/internal/mangolayout/doc.go
@@ -7,8 +7,11 @@
 //
 //	moves := mangolayout.Plan(engine, replicas)
 //
-// A Placer gives the orders of a plan while its daemon holds the lease:
+// A Placer gives the orders of a plan while its daemon has the right to:
 //
-//	placer := mangolayout.New(tenure, orderer, source)
+//	placer := mangolayout.New(state, tenure, engines, board)
 //	go func() { ended <- placer.Run(ctx) }()
+//
+// What it plans from is checked first: a replica that seems to be lost is connected to, a data centre that is seen in part
+// only is left alone, and while the store is away all replicas are asked for their layers.
 package mangolayout
--- a/internal/mangoreplica/doc.go
+++ b/internal/mangoreplica/doc.go
@@ -7,7 +7,7 @@
 //	fleet := mangoreplica.NewFleet(replicas)
 //	for _, r := range fleet.Of("service") { ... }
 //
-// A Board adds what this daemon and its peers observed: outages and requests in flight. It is safe for concurrent use:
+// A Board adds what this daemon and its peers observed: outages, refusals, failed requests and requests in flight. It is safe for concurrent use:
 //
 //	board.Avoid(replica, mangoreplica.CauseUnreachable, time.Second, now)
 //	if board.Avoided(replica, now) { ... }
