--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -241,7 +241,7 @@
 	}
 	n := 0
 	for name, s := range v.Table.Services() {
-		if s.Engine != nil {
+		if s.Split() {
 			n += len(mangopipeline.Covered(mangopipeline.View{
 				Replicas: v.Fleet.Of(name), Engine: s.Engine, Loads: d.board, Now: time.Now(),
 			}))
--- a/internal/mangolayout/doubt.go
+++ b/internal/mangolayout/doubt.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// doubtChecks is the number of failed connections, and doubtTimeout the time of each, after which a replica counts as
-	// lost. Links that lose packets make one connection fail now and then.
-	doubtChecks  = 2
-	doubtTimeout = 120 * time.Millisecond
+	// doubtChecks is the number of failed connections after which a replica counts as lost. Links that lose packets make one
+	// connection fail now and then.
+	doubtChecks = 2
 	// doubtLasts is the time for which what was found out holds.
 	doubtLasts = 1500 * time.Millisecond
 )
@@ -48,7 +47,7 @@
 func (p *Placer) clarify(ctx context.Context, r *mangoreplica.Replica, cause mangoreplica.Cause) {
 	var err error
 	for range doubtChecks {
-		if err = p.engines.Reach(ctx, r, doubtTimeout); err == nil {
+		if err = p.engines.Reach(ctx, r, reachTimeout); err == nil {
 			break
 		}
 	}
--- a/internal/mangolayout/reach.go
+++ b/internal/mangolayout/reach.go
@@ -11,6 +11,9 @@
 	"mangopath.org/mangopath/internal/mangoreplica"
 )
 
+// reachTimeout bounds a connection that only shows that a replica can be reached; it has two attempts.
+const reachTimeout = 120 * time.Millisecond
+
 // reachDoubted checks in the background the data centres that seemed to be cut off.
 func (p *Placer) reachDoubted(ctx context.Context, fleet *mangoreplica.Fleet, services []string, now time.Time) {
 	for _, dataCentre := range p.clarity.due(now) {
@@ -33,7 +36,7 @@
 	var missing atomic.Int64
 	for _, r := range holders {
 		group.Go(func() {
-			if p.engines.Reach(ctx, r, doubtTimeout) != nil {
+			if p.engines.Reach(ctx, r, reachTimeout) != nil {
 				missing.Add(1)
 			}
 		})
--- a/internal/mangolayout/survey.go
+++ b/internal/mangolayout/survey.go
@@ -42,7 +42,7 @@
 	view := p.state.View()
 	if view.Table != nil {
 		for name, s := range view.Table.Services() {
-			if s.Engine == nil || s.Engine.Layers <= 0 {
+			if !s.Split() {
 				continue
 			}
 			for _, r := range view.Fleet.Of(name) {
--- a/internal/mangoliveness/monitor.go
+++ b/internal/mangoliveness/monitor.go
@@ -110,7 +110,7 @@
 		return wanted
 	}
 	for name, s := range v.Table.Services() {
-		if s.Engine == nil || s.Engine.Layers <= 0 {
+		if !s.Split() {
 			continue
 		}
 		for _, r := range v.Fleet.Of(name) {
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -52,10 +52,9 @@
 	penalty map[string]time.Duration
 	// refusals counts the tries of a begun stream in a row that gave no event.
 	refusals int
-	// sends counts all tries, arrivals those that reached an upstream and runs those that may have run.
+	// sends counts all tries, and arrivals those that reached an upstream.
 	sends    int
 	arrivals int
-	runs     int
 	// failure is a complete answer of an upstream that says that it failed; it is passed on if no later try succeeds.
 	failure *buffered
 	// started says that a part of the answer has gone to the caller.
@@ -71,8 +70,6 @@
 	sendFirst time.Duration
 	// ranOn has the replicas that may have run the request, as the first of their chains.
 	ranOn map[string]bool
-	// sendRuns says that the last send is counted among the runs.
-	sendRuns bool
 	// delay is the wait of the last send for its first event; nil for plain services and streams that have begun.
 	delay   *mangodelay.Send
 	events  eventBuffer
@@ -87,7 +84,7 @@
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, request *Request) bool {
 	c := &call{
 		relay: r, request: request, writer: w, control: http.NewResponseController(w), view: r.state.View(),
-		exclude: map[string]bool{}, full: map[string]bool{}, penalty: map[string]time.Duration{},
+		exclude: map[string]bool{}, full: map[string]bool{}, ranOn: map[string]bool{}, penalty: map[string]time.Duration{},
 	}
 	c.events.last, c.events.seen = request.LastEvent, request.Resumes
 	whole := c.serve(ctx)
@@ -182,10 +179,10 @@
 		return false
 	case c.failure != nil:
 		c.outcome = "UpstreamFailed"
-		c.status = c.failure.status
+		c.status = c.failure.answer.Status
 		c.failure.write(c)
 		return true
-	case c.runs == 0:
+	case len(c.ranOn) == 0:
 		// Nothing has run, and nothing will: every send was refused or had no connection.
 		c.refuse(reason, http.StatusServiceUnavailable, retryAfter)
 	case reason == "Expired":
--- a/internal/mangorelay/lines.go
+++ b/internal/mangorelay/lines.go
@@ -11,7 +11,7 @@
 func (c *call) logSend(t target, result result) {
 	c.relay.observer.Send(c.serviceName, result.String())
 	entry := c.relay.logger.WithFields(logrus.Fields{
-		"event": "request_sent", "request": c.request.ID, "send": c.sends, "runs": c.runs, "replica": t.first.ID,
+		"event": "request_sent", "request": c.request.ID, "send": c.sends, "runs": len(c.ranOn), "replica": t.first.ID,
 		"chain": strings.Join(t.ids, ">"), "data_centre": t.dataCentre, "cost_us": t.cost.Microseconds(), "pressure": t.pressure,
 		"result": result.String(), "since_ms": time.Since(c.request.Arrived).Milliseconds(), "last_event": c.events.last,
 		"budget_left": int(c.relay.budget.Left(c.serviceName, time.Now())), "revision": c.view.Revision,
@@ -46,7 +46,7 @@
 	entry := c.relay.logger.WithFields(logrus.Fields{
 		"event": "request_done", "request": c.request.ID, "route": route, "kind": kind, "version": version,
 		"customer": c.customer.Name, "service": c.serviceName, "status": c.status, "outcome": c.outcome, "whole": whole,
-		"sends": c.sends, "runs": c.runs, "first_ms": c.firstEvent.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
+		"sends": c.sends, "runs": len(c.ranOn), "first_ms": c.firstEvent.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
 		"took_ms": took.Milliseconds(),
 	})
 	if c.outcome == noUpstream {
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -96,7 +96,6 @@
 	probes   *probes
 	checks   *probes
 	health   *probes
-	pace     pace
 	delays   *mangodelay.Delays
 	// tasks are checks of replicas that wait for Run.
 	tasks chan func(ctx context.Context)
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -85,10 +85,7 @@
 		case delivered:
 			c.outcome = "Delivered"
 			return true
-		case gone:
-			c.outcome = result.String()
-			return false
-		case cut:
+		case gone, cut:
 			c.outcome = result.String()
 			return false
 		case expired:
@@ -130,7 +127,7 @@
 		return "TooManySends"
 	case c.exhausted() && (!c.started || !c.ranOn[t.first.ID]):
 		return "TooManyAttempts"
-	case c.runs > 0 && c.crashes():
+	case len(c.ranOn) > 0 && c.crashes():
 		return "CrashesUpstreams"
 	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), c.keep(), time.Now()):
 		return "BudgetSpent"
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -62,7 +62,6 @@
 		c.head(a, -1)
 		c.firstEvent = time.Since(c.request.Arrived)
 		c.relay.observer.FirstEvent(c.route.Name, c.firstEvent)
-		c.relay.pace.note(c.firstEvent)
 	} else {
 		gap := time.Since(c.lastEvent)
 		c.longestGap = max(c.longestGap, gap)
@@ -113,7 +112,6 @@
 // buffered is a whole answer.
 type buffered struct {
 	answer Answer
-	status int
 	body   []byte
 }
 
@@ -123,7 +121,7 @@
 	if err != nil || len(body) > maxBuffered {
 		return c.after(outer, inner, t, mangoconn.KindOf(inner, err), err)
 	}
-	b := &buffered{answer: a, status: a.Status, body: body}
+	b := &buffered{answer: a, body: body}
 	c.relay.board.Result(t.first.Incarnation(), a.Status >= http.StatusInternalServerError, time.Now())
 	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.failure = b
@@ -142,7 +140,7 @@
 		return
 	}
 	length := len(b.body)
-	if c.request.Method == http.MethodHead || b.status == http.StatusNoContent || b.status == http.StatusNotModified {
+	if c.request.Method == http.MethodHead || b.answer.Status == http.StatusNoContent || b.answer.Status == http.StatusNotModified {
 		length = -1
 	}
 	c.head(b.answer, length)
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -44,7 +44,7 @@
 func (c *call) choose() (target, bool) {
 	view := c.relay.state.View()
 	service := c.service
-	if c.route.Pipelined && service != nil && service.Engine != nil && service.Engine.Layers > 0 {
+	if c.route.Pipelined && service.Split() {
 		return c.chooseChain(mangopipeline.View{
 			Replicas: view.Fleet.Of(service.Name), Engine: service.Engine, Loads: c.relay.board, Local: c.relay.local,
 			Daemons: len(view.Members), Now: time.Now(),
@@ -55,7 +55,7 @@
 
 // covered returns the data centres whose usable replicas hold all layers.
 func (c *call) covered() []string {
-	if c.service == nil || c.service.Engine == nil {
+	if !c.service.Split() {
 		return nil
 	}
 	view := c.relay.state.View()
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -48,7 +48,7 @@
 		w.woken.Store(true)
 		wait.Wake()
 	})()
-	c.sendBegan, c.sendFirst, c.sendRuns = began, 0, false
+	c.sendBegan, c.sendFirst = began, 0
 	defer c.measure(t, began)()
 	response, err := c.relay.dialer.Exchange(inner, t.first.Address, request, connectTimeout, wait)
 	if err != nil {
@@ -65,13 +65,13 @@
 	case answer.NotRun:
 		return c.refusedBy(t, answer, time.Since(began))
 	case !c.genuine(answer):
-		c.mayHaveRun(t.first)
+		c.ranOn[t.first.ID] = true
 		c.exclude[t.first.ID] = true
 		c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
 		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
 		return lost
 	}
-	c.mayHaveRun(t.first)
+	c.ranOn[t.first.ID] = true
 	c.relay.trust(t.first, c.request.ID)
 	if c.route.Kind == mangoroute.Stream && success(answer.Status) {
 		return c.stream(outer, inner, t, answer, response)
@@ -122,24 +122,14 @@
 	kind := mangoconn.KindOf(inner, err)
 	if kind != mangoconn.KindUnsent {
 		c.arrivals++
-		c.mayHaveRun(t.first)
+		c.ranOn[t.first.ID] = true
 	}
 	return c.after(outer, inner, t, kind, err)
 }
 
-// mayHaveRun counts the present send among those that may have run.
-func (c *call) mayHaveRun(first *mangoreplica.Replica) {
-	c.runs++
-	c.sendRuns = true
-	if c.ranOn == nil {
-		c.ranOn = map[string]bool{}
-	}
-	c.ranOn[first.ID] = true
-}
-
-// attempts returns the number of replicas that may have run the request, with that of the present send.
-func (c *call) attempts() int {
-	if c.sendRuns {
+// attempts returns the number of replicas that may have run the request, with the one that it is sent to now.
+func (c *call) attempts(first *mangoreplica.Replica) int {
+	if c.ranOn[first.ID] {
 		return len(c.ranOn)
 	}
 	return len(c.ranOn) + 1
@@ -164,7 +154,7 @@
 		return unsent
 	case mangoconn.KindBroken:
 		c.relay.board.Result(t.first.Incarnation(), true, time.Now())
-		c.relay.verify(t.first, c.request.ID, c.relay.aboard.fingerprints(t.first.Incarnation()))
+		c.relay.verify(t.first, c.request.ID)
 	case mangoconn.KindTimeout:
 		if len(t.parts) == 0 {
 			c.relay.avoid(t.first, mangoreplica.CauseSilent, holdFaulty, c.request.ID)
@@ -216,9 +206,9 @@
 		c.relay.avoid(fault, mangoreplica.CauseStalled, holdStalled, c.request.ID)
 	case t.pressure < fullPressure:
 		c.relay.avoid(fault, mangoreplica.CauseFaulty, c.relay.board.Refused(fault.Incarnation(), time.Now()), c.request.ID)
-		c.relay.inquire(fault, c.service.HealthPath, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
+		c.relay.inquire(fault, c.service.HealthPath, c.request.ID)
 	default:
-		c.relay.verify(fault, c.request.ID, c.relay.aboard.fingerprints(fault.Incarnation()))
+		c.relay.verify(fault, c.request.ID)
 	}
 	c.penalty[t.dataCentre] += retryPenalty
 	return refused
--- a/internal/mangorelay/watch_test.go
+++ b/internal/mangorelay/watch_test.go
@@ -117,10 +117,14 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCall(mangoreplica.NewBoard())
-			c.ranOn, c.sendRuns, c.started = map[string]bool{}, tt.answered, tt.started
+			c.ranOn, c.started = map[string]bool{}, tt.started
 			for i := range tt.runs {
 				c.ranOn[fmt.Sprint(i)] = true
 			}
+			if tt.answered {
+				delete(c.ranOn, "0")
+				c.ranOn["r"] = true
+			}
 			if strings.Contains(tt.name, "slow") {
 				c.usualGap = 180 * time.Millisecond
 			}
--- a/internal/mangoroute/service.go
+++ b/internal/mangoroute/service.go
@@ -9,6 +9,9 @@
 	Engine *Engine
 }
 
+// Split reports whether the service is a model that is split by layers.
+func (s *Service) Split() bool { return s != nil && s.Engine != nil && s.Engine.Layers > 0 }
+
 // Engine describes the engines of a model that is split by layers.
 type Engine struct {
 	// Layers is the number of layers of the model.
