Let begun streams wait for retries

Cause: a planned exit breaks all streams that pass through a replica at once, and their retries spend the shared budget of the window. Those that found it spent were cut in the same moment, although the window slides while their callers still wait.

--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -29,8 +29,12 @@
 	keepForStreams = 0.4
 )
 
-// noUpstream is the outcome of requests for which no chain or replica was left.
-const noUpstream = "NoUpstream"
+const (
+	// noUpstream is the outcome of requests for which no chain or replica was left.
+	noUpstream = "NoUpstream"
+	// budgetSpent is the outcome of requests for which no retry was left.
+	budgetSpent = "BudgetSpent"
+)
 
 // result says how a try ended.
 type result int
@@ -75,6 +79,9 @@
 			return c.conclude("Overloaded", c.comeBack())
 		}
 		if reason := c.mayNotSend(t); reason != "" {
+			if reason == budgetSpent && c.outlasts(inner) {
+				continue
+			}
 			return c.conclude(reason, retryFull)
 		}
 		c.sends++
@@ -118,6 +125,16 @@
 	c.refusals++
 }
 
+// outlasts lets a begun stream pause while the retries of the window are spent and reports whether its caller still waits:
+// the loss of one replica breaks many streams at once, and the window slides meanwhile.
+func (c *call) outlasts(ctx context.Context) bool {
+	if !c.started || ctx.Err() != nil || !time.Now().Before(c.patienceEnd()) {
+		return false
+	}
+	sleep(ctx, resumeStep)
+	return true
+}
+
 // mayNotSend returns why another send is not allowed, or nothing.
 func (c *call) mayNotSend(t target) string {
 	switch {
@@ -130,7 +147,7 @@
 	case len(c.ranOn) > 0 && c.crashes():
 		return "CrashesUpstreams"
 	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), c.keep(), time.Now()):
-		return "BudgetSpent"
+		return budgetSpent
 	}
 	if c.arrivals > 0 {
 		c.relay.observer.Retry(c.serviceName, "Repeat")
@@ -159,7 +176,7 @@
 func (c *call) await(ctx context.Context) (target, bool) {
 	until, step := time.Now().Add(emptyWait), emptyStep
 	if c.started {
-		until, step = c.lastEvent.Add(c.streamPatience()), resumeStep
+		until, step = c.patienceEnd(), resumeStep
 	}
 	for {
 		t, ok := c.choose()
@@ -176,9 +193,9 @@
 	}
 }
 
-// streamPatience is the time without an event for which a begun stream tries to go on.
-func (c *call) streamPatience() time.Duration {
-	return max(callerPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget) - resumeMargin
+// patienceEnd is the time until which a begun stream without further events tries to go on.
+func (c *call) patienceEnd() time.Time {
+	return c.lastEvent.Add(max(callerPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget) - resumeMargin)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
