Let begun streams go on at their own first replica

Cause: when replicas leave one after the other, often only one replica of a data centre holds the first layers. A begun stream that loses a later part of its chain was not allowed to begin again there while it had an attempt left, so it waited 1.6 s for another first replica and was cut with NoUpstream although its data centre was covered.

Change: if no untried replica can begin a chain and none is full, a begun stream goes on at a replica that it ran on, by others behind it, as it already did after its last attempt. Whether ran-on replicas are left out is now decided in one place instead of by the count of attempts. TestStreamGoesOnAtItsOnlyReplica fails without the change.

--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -65,15 +65,15 @@
 	return slices.Sorted(maps.Keys(covered))
 }
 
+// chooseChain prefers a chain of an untried first replica. A begun stream goes on at a replica that it ran on, by others
+// behind it, when its attempts are used up or no other replica can begin a chain. Others that are full are waited for: the
+// replica that broke off is the less likely one to answer.
 func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
-	var first func(id string) bool
-	if c.exhausted() {
-		first = func(id string) bool { return c.ranOn[id] }
+	again := c.exhausted()
+	chain, err := c.chain(view, again)
+	if err != nil && c.started && !again && len(c.full) == 0 {
+		chain, err = c.chain(view, true)
 	}
-	chain, err := mangopipeline.Choose(view, mangopipeline.Request{
-		First:  first,
-		Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penaltyOf, Random: c.relay.random,
-	})
 	if err != nil {
 		return target{}, false
 	}
@@ -83,16 +83,27 @@
 	}, true
 }
 
+// chain returns the cheapest chain that begins at a replica that ran the request, or that has only replicas that did not.
+func (c *call) chain(view mangopipeline.View, again bool) (mangopipeline.Chain, error) {
+	request := mangopipeline.Request{Tokens: c.tokens(), Exclude: c.excluded, Penalty: c.penaltyOf, Random: c.relay.random}
+	if again {
+		request.First = func(id string) bool { return c.ranOn[id] }
+		request.Exclude = c.unusable
+	}
+	return mangopipeline.Choose(view, request)
+}
+
 // penaltyOf returns what speaks against a data centre: the wait for a first event there, and earlier failures of this
 // request.
 func (c *call) penaltyOf(dataCentre string) time.Duration {
 	return c.penalty[dataCentre] + c.relay.delays.Estimate(c.serviceName, dataCentre, time.Now())
 }
 
-// excluded reports whether a replica must not be used for this request.
-func (c *call) excluded(id string) bool {
-	return c.exclude[id] || c.full[id] || (c.ranOn[id] && !c.exhausted())
-}
+// unusable reports whether a replica failed this request or has no room for it.
+func (c *call) unusable(id string) bool { return c.exclude[id] || c.full[id] }
+
+// excluded reports whether a replica is unusable or may have run the request.
+func (c *call) excluded(id string) bool { return c.unusable(id) || c.ranOn[id] }
 
 // tokens estimates the memory of a request; the answer grows over its life, so half of it counts.
 func (c *call) tokens() float64 {
