Blame no request for the planned end of a replica

Cause: the end of a draining replica refuses connections like a crash, so the requests aboard were reported as present at a crash.

Change: no request is taken to be aboard a replica that is to end by its entry in the store or that said that it is leaving. TestPlannedEndBlamesNobody fails without the change; crashes of other replicas are reported as before.

--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -170,12 +170,23 @@
 	r.verify(replica, "")
 }
 
-// fingerprints returns the requests that pass through a replica now. They are taken before a check, during which those that
-// the replica crashed leave it.
+// fingerprints returns the requests that may crash a replica now: those that pass through it, or none if it is to end by
+// itself. They are taken before a check, during which those that the replica crashed leave it.
 func (r *Relay) fingerprints(replica *mangoreplica.Replica) []string {
+	if r.leaves(replica) {
+		return nil
+	}
 	return r.aboard.fingerprints(replica.Incarnation())
 }
 
+// leaves reports whether a replica is to end, by its entry or by what it said of itself.
+func (r *Relay) leaves(replica *mangoreplica.Replica) bool {
+	if entry := r.state.View().Fleet.ByID(replica.ID); entry != nil && entry.Draining {
+		return true
+	}
+	return r.board.Outages(time.Now())[replica.Incarnation()].Cause == mangoreplica.CauseLeaving
+}
+
 // crashed tells what was aboard a replica that crashed. Crashes in one data centre at about the same time count as one: a
 // request passes through many replicas there, and all of them are lost together with their power or their network, while a
 // request that crashes replicas is sent to another data centre next.
--- a/internal/mangorelay/crash_test.go
+++ b/internal/mangorelay/crash_test.go
@@ -1,7 +1,9 @@
 package mangorelay
 
 import (
+	"context"
 	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/internal/mangosuspect"
 )
 
@@ -39,3 +42,48 @@
 		})
 	}
 }
+
+// refusing is a dialer to replicas whose processes have ended.
+type refusing struct{ Exchanger }
+
+func (refusing) Reach(context.Context, string, time.Duration) error { return syscall.ECONNREFUSED }
+
+// Guards against streams that are cut as crashing replicas because those that they passed through ended as planned.
+func TestPlannedEndBlamesNobody(t *testing.T) {
+	tests := []struct {
+		name     string
+		draining bool
+		cause    mangoreplica.Cause
+		held     bool
+	}{
+		{"crashed", false, "", true},
+		{"draining by their entries", true, "", false},
+		{"said that they are leaving", false, mangoreplica.CauseLeaving, false},
+		{"avoided as faulty, then crashed", false, mangoreplica.CauseFaulty, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var list []*mangoreplica.Replica
+			for _, dataCentre := range []string{"a", "b"} {
+				list = append(list, &mangoreplica.Replica{ID: dataCentre, DataCentre: dataCentre, Service: "s", Draining: tt.draining})
+			}
+			suspects := mangosuspect.New("one")
+			board := mangoreplica.NewBoard()
+			state := fixedState{&mangostate.View{Fleet: mangoreplica.NewFleet(list)}}
+			r := New("a", state, nil, refusing{}, board, mangobudget.New(mangobudget.Limit{}), suspects, WithLogger(quietLogger()))
+			for _, replica := range list {
+				if tt.cause != "" {
+					board.Avoid(replica.Incarnation(), tt.cause, time.Minute, time.Now())
+				}
+				r.aboard.board(&sent{fingerprint: "stream", wake: func() {}}, []mangoreplica.Incarnation{replica.Incarnation()})
+				// A request may hold an older entry of the replica than the view does.
+				earlier := *replica
+				earlier.Draining = false
+				r.verify(&earlier, "q")
+				(<-r.tasks)(t.Context())
+			}
+			is.Equal(suspects.Held("stream", time.Now()), tt.held)
+		})
+	}
+}
