Tell layers to daemons whose entries may be behind

The log says that the daemon of the second data centre saw no whole chain anywhere (covered is empty): the last entries had reached the daemon that places layers, but not this one, before the store went away. The placing daemon told sightings only for entries that were behind in its own view, so nobody told the other daemon for the time of the outage.

Change: the end of an order is told in any case, and so are all layers found by the first survey of a daemon that places without the store. TestSightingsAreToldThatEntriesShowHere fails without the change.

--- a/internal/mangolayout/order.go
+++ b/internal/mangolayout/order.go
@@ -134,8 +134,9 @@
 	return false
 }
 
-// follow asks the replica for its layers once they should be loaded, if its entry does not show them by then. A replica's
-// entry follows its state after up to a heartbeat, and not at all while the store is away.
+// follow tells the other daemons once a replica holds the layers of an order. A replica's entry follows its state after up
+// to a heartbeat, and not at all while the store is away, so the replica is asked. The others are told also if the entry
+// shows the layers here, since it may not have reached them before the store went away.
 func (p *Placer) follow(ctx context.Context, o assigned) {
 	until := time.Now().Add(2*loadTime(o) + entryLag)
 	for wait := loadTime(o); ; wait = followStep {
@@ -147,7 +148,11 @@
 		case <-timer.C:
 		}
 		r := p.state.View().Fleet.ByID(o.Replica.ID)
-		if r == nil || r.Born != o.Replica.Born || r.Layers == o.Layers || time.Now().After(until) {
+		if r == nil || r.Born != o.Replica.Born || time.Now().After(until) {
+			return
+		}
+		if r.Layers == o.Layers {
+			p.sighted(mangoreplica.Sighting{Replica: r.Incarnation(), Layers: r.Layers})
 			return
 		}
 		asking, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/mangolayout/survey.go
+++ b/internal/mangolayout/survey.go
@@ -40,6 +40,9 @@
 	var group sync.WaitGroup
 	slots := make(chan struct{}, surveyWidth)
 	view := p.state.View()
+	p.mu.Lock()
+	first := p.surveyed.IsZero()
+	p.mu.Unlock()
 	if view.Table != nil {
 		for name, s := range view.Table.Services() {
 			if !s.Split() {
@@ -48,7 +51,7 @@
 			for _, r := range view.Fleet.Of(name) {
 				slots <- struct{}{}
 				group.Go(func() {
-					p.inspect(ctx, r)
+					p.inspect(ctx, r, first)
 					<-slots
 				})
 			}
@@ -60,8 +63,9 @@
 	p.surveying, p.surveyed = false, time.Now()
 }
 
-// inspect takes the layers and the number of orders that a replica reports.
-func (p *Placer) inspect(ctx context.Context, r *mangoreplica.Replica) {
+// inspect takes the layers and the number of orders that a replica reports. Other daemons are told the layers if they are
+// news here, and in the first survey in any case: the last entries may not have reached all daemons.
+func (p *Placer) inspect(ctx context.Context, r *mangoreplica.Replica, first bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := p.engines.Report(ctx, r)
@@ -87,7 +91,7 @@
 		p.pending[i] = o
 	}
 	p.mu.Unlock()
-	if report.Layers != r.Layers && !report.Busy {
+	if (first || report.Layers != r.Layers) && !report.Busy {
 		p.sighted(mangoreplica.Sighting{Replica: i, Layers: report.Layers})
 	}
 }
--- a/internal/mangolayout/survey_test.go
+++ b/internal/mangolayout/survey_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -122,3 +123,46 @@
 		})
 	}
 }
+
+// sightings counts what is told to the other daemons.
+type sightings struct {
+	mu   sync.Mutex
+	told []mangoreplica.Sighting
+}
+
+func (s *sightings) see(g mangoreplica.Sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = append(s.told, g)
+}
+
+func (s *sightings) all() []mangoreplica.Sighting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.told)
+}
+
+// Guards against daemons that did not get the last entries before the store went away and know no chain in a data centre
+// that the placing daemon sees whole.
+func TestSightingsAreToldThatEntriesShowHere(t *testing.T) {
+	is := is.New(t)
+	layers := mangoreplica.Range{To: 8}
+	replica := &mangoreplica.Replica{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k", Layers: layers}
+	model := &mangoroute.Engine{Layers: 8, LayerMB: 1750, TokenBytes: 590000}
+	state := &movingState{view: mangostate.View{
+		Table: mangoroute.New(1, nil, []mangoroute.Service{{Name: "model", Engine: model}}, nil, false, mangoroute.Limits{}),
+		Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{replica}),
+	}}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	told := &sightings{}
+	p := New(state, holder{}, &fakeEngines{report: Report{Orders: 1, Layers: layers}}, mangoreplica.NewBoard(), WithLogger(logger), WithSightings(told.see))
+	want := mangoreplica.Sighting{Replica: replica.Incarnation(), Layers: layers}
+
+	p.follow(t.Context(), assigned{Order: Order{Replica: replica, Layers: layers}, engine: model})
+	is.Equal(told.all(), []mangoreplica.Sighting{want}) // an order that was carried out
+	p.survey(t.Context())
+	is.Equal(told.all(), []mangoreplica.Sighting{want, want}) // the first survey
+	p.survey(t.Context())
+	is.Equal(len(told.all()), 2) // a later survey without news
+}
