Keep orders on their way while replicas carry them out

Cause: an order that makes a replica give up layers waits for the requests in them, often for more than the 3 s after which it was taken for lost. The plan then went by the entry, which shows the layers that are left, and ordered others; the replica refused them for as long as it was busy. A late report of an earlier order also brought back layers that a later order had removed, which gave a trim twice.

Change: as long as a replica reports that it is busy with an order, the order counts as on its way, up to 20 s. Reports are ignored once a later order was accepted. TestBusyReplicaKeepsItsOrder fails without it.

--- a/internal/mangolayout/order.go
+++ b/internal/mangolayout/order.go
@@ -19,6 +19,11 @@
 	// reportTimeout bounds a question to a replica, and followStep is the time between two of them.
 	reportTimeout = 400 * time.Millisecond
 	followStep    = 250 * time.Millisecond
+	// busyExtension is the time by which an order is taken to be on its way when the replica still carries it out, and
+	// carryMax the longest time for that: layers that are given up wait for the requests that pass through them, which may
+	// take as long as the longest stream.
+	busyExtension = 1500 * time.Millisecond
+	carryMax      = 20 * time.Second
 	// conflictPause is the time after which a replica that refused an order is asked again.
 	conflictPause = 500 * time.Millisecond
 )
@@ -138,7 +143,8 @@
 // to a heartbeat, and not at all while the store is away, so the replica is asked. The others are told also if the entry
 // shows the layers here, since it may not have reached them before the store went away.
 func (p *Placer) follow(ctx context.Context, o assigned) {
-	until := time.Now().Add(2*loadTime(o) + entryLag)
+	given := time.Now()
+	until := given.Add(2*loadTime(o) + entryLag)
 	for wait := loadTime(o); ; wait = followStep {
 		timer := time.NewTimer(wait)
 		select {
@@ -148,7 +154,8 @@
 		case <-timer.C:
 		}
 		r := p.state.View().Fleet.ByID(o.Replica.ID)
-		if r == nil || r.Born != o.Replica.Born || time.Now().After(until) {
+		now := time.Now()
+		if r == nil || r.Born != o.Replica.Born || now.After(until) || p.overtaken(o) {
 			return
 		}
 		if r.Layers == o.Layers {
@@ -158,13 +165,29 @@
 		asking, cancel := context.WithTimeout(ctx, reportTimeout)
 		report, err := p.engines.Report(asking, r)
 		cancel()
-		if err == nil && !report.Busy && report.Layers == o.Layers {
+		if p.overtaken(o) {
+			return
+		}
+		switch {
+		case err != nil:
+		case report.Busy && until.Sub(now) < busyExtension && now.Sub(given) < carryMax:
+			until = now.Add(2 * busyExtension)
+			p.begun(r.Incarnation(), o.Layers, until)
+		case !report.Busy && report.Layers == o.Layers:
 			p.sighted(mangoreplica.Sighting{Replica: r.Incarnation(), Layers: report.Layers})
 			return
 		}
 	}
 }
 
+// overtaken reports whether the replica has accepted a later order. A report, which is some hundred milliseconds old, would
+// then bring back the layers of this one.
+func (p *Placer) overtaken(o assigned) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.orders[o.Replica.Incarnation()] > o.Expected+1
+}
+
 // prepare sets the number of orders that a replica has accepted; it reports false if the order is off for now. A replica
 // without layers is taken as one that has had no order yet, which saves a question for most.
 func (p *Placer) prepare(ctx context.Context, o *assigned) bool {
--- a/internal/mangolayout/survey_test.go
+++ b/internal/mangolayout/survey_test.go
@@ -166,3 +166,35 @@
 	p.survey(t.Context())
 	is.Equal(len(told.all()), 2) // a later survey without news
 }
+
+// Guards against an order that is taken for lost while its replica still waits for requests: the placer then orders other
+// layers, which the replica refuses for as long as it is busy.
+func TestBusyReplicaKeepsItsOrder(t *testing.T) {
+	is := is.New(t)
+	layers := mangoreplica.Range{To: 8}
+	replica := &mangoreplica.Replica{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}
+	model := &mangoroute.Engine{Layers: 8, LayerMB: 1750, TokenBytes: 590000}
+	state := &movingState{view: mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{replica})}}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	engines := &fakeEngines{report: Report{Orders: 1, Busy: true}}
+	p := New(state, holder{}, engines, mangoreplica.NewBoard(), WithLogger(logger), WithSightings(state.see))
+	begun := time.Now()
+	p.begun(replica.Incarnation(), layers, begun.Add(entryLag))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.follow(t.Context(), assigned{Order: Order{Replica: replica, Layers: layers}, engine: model})
+	}()
+	time.Sleep(entryLag + entryLag/4)
+	p.mu.Lock()
+	until := p.pending[replica.Incarnation()].until
+	p.mu.Unlock()
+	is.True(until.After(time.Now())) // the order still counts as on its way
+
+	engines.mu.Lock()
+	engines.report = Report{Orders: 1, Layers: layers}
+	engines.mu.Unlock()
+	<-ended
+	is.Equal(state.View().Fleet.ByID("r").Layers, layers)
+}
