Keep copies of layers free of requests

Cause: a copy that takes over lost layers first waits for the requests that pass through its old ones.

Change: a replica whose layers the others hold as well costs 15 ms more in a chain, the smallest first, so that requests pass through it only when the others are about half full or lost. All daemons mark the same replicas, as they know the same entries. TestCopiesStayFree fails without the change; the naive twin of the chain choice counts the cost too.

--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -1,7 +1,9 @@
 package mangopipeline
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +16,9 @@
 	hopCost = 200 * time.Microsecond
 	// remoteCost keeps requests in their own data centre unless its replicas are much busier.
 	remoteCost = 30 * time.Millisecond
+	// spareCost keeps requests off replicas whose layers others hold too, until those are about half full: a replica that
+	// no request passes through takes over lost layers at once, while another one first waits for its requests.
+	spareCost = 15 * time.Millisecond
 	// jitter spreads requests of daemons that decide on the same state, as a share of the cost.
 	jitter = 0.15
 	// avoidedFactor makes a replica that is avoided the last resort.
@@ -73,6 +78,8 @@
 	replica  *mangoreplica.Replica
 	perLayer float64
 	pressure float64
+	// spare says that the others hold all its layers.
+	spare bool
 	// faults is the share of requests that the replica fails as the first of a chain.
 	faults float64
 }
@@ -109,9 +116,41 @@
 		c.perLayer *= factor * (1 + jitter*request.Random())
 		s.candidates = append(s.candidates, c)
 	}
+	for _, s := range sites {
+		s.markSpares(view.Engine.Layers)
+	}
 	return sites
 }
 
+// markSpares marks the replicas whose layers the others hold as well, the smallest first. All daemons mark the same ones, as
+// they know the same entries.
+func (s *site) markSpares(layers int) {
+	holders := make([]int, layers)
+	count := func(r mangoreplica.Range, n int) (least int) {
+		least = math.MaxInt
+		for l := max(r.From, 0); l < min(r.To, layers); l++ {
+			holders[l] += n
+			least = min(least, holders[l])
+		}
+		return least
+	}
+	order := make([]int, len(s.candidates))
+	for i, c := range s.candidates {
+		order[i] = i
+		count(c.replica.Layers, 1)
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := s.candidates[a].replica, s.candidates[b].replica
+		return cmp.Or(cmp.Compare(x.Layers.Len(), y.Layers.Len()), cmp.Compare(x.ID, y.ID))
+	})
+	for _, i := range order {
+		c := &s.candidates[i]
+		if c.spare = count(c.replica.Layers, -1) > 0; !c.spare {
+			count(c.replica.Layers, 1)
+		}
+	}
+}
+
 // assess estimates the time of a token in one layer of a replica and the pressure on its memory. The other daemons are
 // taken to have as much in flight as this one.
 func assess(view View, request Request, r *mangoreplica.Replica) candidate {
@@ -147,6 +186,9 @@
 			if at == 0 {
 				total += c.faults * float64(faultCost)
 			}
+			if c.spare {
+				total += float64(spareCost)
+			}
 			if total < cost[at] {
 				cost[at], next[at] = total, i
 			}
--- a/internal/mangopipeline/choose_test.go
+++ b/internal/mangopipeline/choose_test.go
@@ -1,7 +1,10 @@
 package mangopipeline
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +49,34 @@
 	return best, found
 }
 
+// naiveSpares returns the ids of replicas of a data centre that can be left out, the smallest first, without a layer losing
+// its last holder.
+func naiveSpares(replicas []*mangoreplica.Replica, dataCentre string) map[string]bool {
+	var left []*mangoreplica.Replica
+	for _, r := range replicas {
+		if r.DataCentre == dataCentre && r.Layers.Len() > 0 {
+			left = append(left, r)
+		}
+	}
+	order := slices.Clone(left)
+	slices.SortFunc(order, func(a, b *mangoreplica.Replica) int {
+		return cmp.Or(cmp.Compare(a.Layers.Len(), b.Layers.Len()), cmp.Compare(a.ID, b.ID))
+	})
+	spares := map[string]bool{}
+	for _, r := range order {
+		others := slices.DeleteFunc(slices.Clone(left), func(o *mangoreplica.Replica) bool { return o == r })
+		needed := false
+		for l := r.Layers.From; l < r.Layers.To; l++ {
+			needed = needed || !slices.ContainsFunc(others, func(o *mangoreplica.Replica) bool { return o.Layers.From <= l && l < o.Layers.To })
+		}
+		if !needed {
+			spares[r.ID] = true
+			left = others
+		}
+	}
+	return spares
+}
+
 // Guards against chains that leave out or repeat a layer, cross data centres, or cost more than the best way, by trying
 // all ways.
 func TestChooseAgainstNaive(t *testing.T) {
@@ -61,8 +92,14 @@
 		}
 		e := engine(layers)
 		view := View{Replicas: replicas, Engine: e, Loads: mangoreplica.NewBoard(), Local: "x", Daemons: 1, Now: time.Unix(0, 0)}
+		spares := naiveSpares(replicas, "x")
+		maps.Copy(spares, naiveSpares(replicas, "y"))
 		cost := func(r *mangoreplica.Replica, n int) float64 {
-			return assess(view, Request{Random: still}, r).perLayer*float64(n) + float64(hopCost)
+			c := assess(view, Request{Random: still}, r).perLayer*float64(n) + float64(hopCost)
+			if spares[r.ID] {
+				c += float64(spareCost)
+			}
+			return c
 		}
 		local, inLocal := naive(replicas, "x", 0, layers, cost)
 		remote, inRemote := naive(replicas, "y", 0, layers, cost)
@@ -91,6 +128,39 @@
 	})
 }
 
+// Guards against requests on the copies that are to take over lost layers, which would first wait for these requests, and
+// against a copy that is left idle while the only other holder is full or lost.
+func TestCopiesStayFree(t *testing.T) {
+	now := time.Unix(100, 0)
+	first, second := replica("first", "x", "b", 0, 5), replica("second", "x", "b", 5, 8)
+	spare := replica("copy", "x", "b", 0, 5)
+	tests := []struct {
+		name  string
+		lost  string
+		share float64
+		want  string
+	}{
+		{"calm", "", 0.1, "first>second"},
+		{"the holder is nearly full", "", 0.95, "copy>second"},
+		{"the holder is lost", "first", 0, "copy>second"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			board := mangoreplica.NewBoard()
+			e := engine(8)
+			board.Begin(tt.share*e.Capacity("b", 5), "first")
+			replicas := []*mangoreplica.Replica{second, spare}
+			if tt.lost == "" {
+				replicas = append(replicas, first)
+			}
+			chain, err := Choose(View{Replicas: replicas, Engine: e, Loads: board, Local: "x", Daemons: 1, Now: now}, Request{Random: still})
+			is.NoErr(err)
+			is.Equal(strings.Join(chain.IDs(), ">"), tt.want)
+		})
+	}
+}
+
 // Guards against chains through replicas that leave or failed just now, and against refusing requests while only
 // replicas in doubt are left.
 func TestChooseAvoids(t *testing.T) {
