Close gaps by shifting few ranges and keep a reserve

Cause: when no copy was left, the loss or departure of one small replica laid out its data centre anew: up to 13 replicas gave up layers at once, each after the requests in them, and the data centre was out for 4 to 6 s.

Change: a gap without copies is closed by the cheapest change of ranges (dynamic programme over the replicas in the order of their layers, a few of which may be placed at the gap). Replicas keep their old layers until the new ones are loaded if both fit. The room of replicas is evened out afterwards, first by neighbours that load layers, then by giving these up. While no replica is free for the next loss, neighbours take over the layers of a small one. Orders are urgent when no request can pass through the data centre, whichever gap they close. The full layout anew and the trims by size are gone.

Tests: TestArrangeAgainstNaive (all ranges tried), TestShiftMovesLittle (against the layout anew), TestReserveIsRestored, TestLevel; TestPlanHeals found an oscillation between trims and levels on the way.

--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -27,8 +27,8 @@
 const (
 	// Layout moves are the first ones of a data centre.
 	Layout Reason = "Layout"
-	// Rebuild moves lay out a data centre anew that no longer serves.
-	Rebuild Reason = "Rebuild"
+	// Shift moves give them to several replicas whose ranges move.
+	Shift Reason = "Shift"
 	// Gap moves give layers without a holder to an empty replica.
 	Gap Reason = "Gap"
 	// GapFromCopy moves give them to a replica whose layers others hold.
@@ -37,7 +37,11 @@
 	Extend Reason = "Extend"
 	// Copy moves give layers a further holder.
 	Copy Reason = "Copy"
-	// Trim moves take layers from a replica that has more than its share.
+	// Level moves take layers over from a neighbour that has little room.
+	Level Reason = "Level"
+	// Reserve moves take all layers over from a replica, which is then free for the next loss.
+	Reserve Reason = "Reserve"
+	// Trim moves take layers that others hold too from a replica that has little room.
 	Trim Reason = "Trim"
 )
 
@@ -62,9 +66,6 @@
 	roomStep  = 4000.0
 	// extendedRoom is the room that a replica keeps when it takes over layers of a lost neighbour.
 	extendedRoom = 90000.0
-	// trimAt is the number of layers too many from which a replica gives them up; a smaller change is not worth the
-	// moment for which the replica takes no requests.
-	trimAt = 3
 	// quickLoad is the number of layers that load within about a second; a replica that closes a smaller gap takes as many.
 	quickLoad = 6
 	// reserve is the number of layers, as a share of the model, that replicas hold twice if the memory allows it: a copy
@@ -103,6 +104,8 @@
 	moves []Move
 	// leaving has the layers of replicas that are leaving.
 	leaving []mangoreplica.Range
+	// broken says that no request can pass through the data centre.
+	broken bool
 }
 
 func newPlanner(engine *mangoroute.Engine, states []Holding) *planner {
@@ -122,17 +125,19 @@
 	p.sort()
 	held := slices.ContainsFunc(p.states, func(s Holding) bool { return s.Layers.Len() > 0 })
 	if !held {
-		p.layOut(Layout)
+		p.layOut()
 		return p.moves
 	}
 	p.count()
+	p.broken = p.isBroken()
 	p.fillGaps()
 	if len(p.gaps()) > 0 {
-		p.rebuild()
+		p.shift()
 		return p.moves
 	}
 	p.useEmpty()
-	p.trim()
+	p.level()
+	p.keepReserve()
 	return p.moves
 }
 
@@ -173,7 +178,7 @@
 }
 
 // layOut gives all replicas their layers one after the other and begins at the first layer again after the last.
-func (p *planner) layOut(reason Reason) {
+func (p *planner) layOut() {
 	if p.total() < p.engine.Layers {
 		return
 	}
@@ -184,34 +189,11 @@
 			continue
 		}
 		to := min(at+n, p.engine.Layers)
-		p.move(s, mangoreplica.Range{From: at, To: to}, reason)
+		p.move(s, mangoreplica.Range{From: at, To: to}, Layout)
 		at = to % p.engine.Layers
 	}
 }
 
-// rebuild lays the data centre out anew, which no longer serves. The replicas keep their order, so that each loads only
-// the few layers by which its range moves. It waits for orders on their way, which may close the gap.
-func (p *planner) rebuild() {
-	if slices.ContainsFunc(p.states, func(s Holding) bool { return !s.Settled }) {
-		return
-	}
-	slices.SortStableFunc(p.states, func(a, b Holding) int {
-		return cmp.Or(compareBool(a.Layers.Len() == 0, b.Layers.Len() == 0), cmp.Compare(a.Layers.From, b.Layers.From))
-	})
-	p.layOut(Rebuild)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func (p *planner) move(s Holding, layers mangoreplica.Range, reason Reason) {
 	if !s.Settled || s.Layers == layers {
 		return
@@ -269,22 +251,29 @@
 			return
 		}
 		n := min(p.size(p.states[i], p.room), max(gap.Len(), quickLoad))
+		first := len(p.moves)
 		p.take(i, p.window(gap, n), GapFromCopy)
-		p.hurry(gap)
+		p.hurry(p.moves[first:])
 	}
 }
 
-// hurry makes the last move urgent if the requests in the data centre stall anyway, since the holder of the gap is lost and
-// not merely leaving. Requests that a leaving replica still serves are not cut for the sake of new ones.
-func (p *planner) hurry(gap mangoreplica.Range) {
-	for _, r := range p.leaving {
-		if r.From < gap.To && gap.From < r.To {
-			return
-		}
+// hurry makes moves urgent if the requests in the data centre stall anyway. Requests that leaving replicas still serve are not
+// cut for the sake of new ones.
+func (p *planner) hurry(moves []Move) {
+	for i := range moves {
+		moves[i].Urgent = p.broken
 	}
-	if len(p.moves) > 0 {
-		p.moves[len(p.moves)-1].Urgent = true
+}
+
+// isBroken reports whether no replica, not even one that is leaving, holds some layer: requests that pass through the others
+// then wait for it until engines give them up.
+func (p *planner) isBroken() bool {
+	for l, n := range p.cover {
+		if n == 0 && !slices.ContainsFunc(p.leaving, func(r mangoreplica.Range) bool { return r.From <= l && l < r.To }) {
+			return true
+		}
 	}
+	return false
 }
 
 // extend lets the replicas on both sides of a gap take its layers beside their own, which loads the fewest layers. It
@@ -437,38 +426,3 @@
 	}
 	return rooms
 }
-
-// trim takes layers that others hold too from a replica that has taken over more than its share, one at a time.
-func (p *planner) trim() {
-	for i, s := range p.states {
-		n := p.size(s, p.room)
-		if !s.Settled || n <= 0 || s.Layers.Len() < n+trimAt {
-			continue
-		}
-		r := s.Layers
-		for r.Len() > n && p.covered(r.From) {
-			r.From++
-		}
-		for r.Len() > n && p.covered(r.To-1) {
-			r.To--
-		}
-		if r != s.Layers {
-			p.take(i, r, Trim)
-			return
-		}
-	}
-}
-
-// covered reports whether a layer has a second holder that is not changing.
-func (p *planner) covered(layer int) bool {
-	if layer < 0 || layer >= len(p.cover) || p.cover[layer] < 2 {
-		return false
-	}
-	holders := 0
-	for _, s := range p.states {
-		if s.Settled && s.Layers.From <= layer && layer < s.Layers.To {
-			holders++
-		}
-	}
-	return holders >= 2
-}
