Take layers as given up at the order that gives them up

Cause: for up to a heartbeat after an order, daemons sent requests to layers that a replica was giving up, and were refused; each refusal avoided the replica for 0.7 s.

Change: an order that any daemon gives narrows the layers of its replica at once, until the entry or the replica says otherwise. Tests: TestNarrow, TestWaitAtMovedPart.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -168,13 +168,20 @@
 	news *mangonews.News, metrics *mangometric.Relay, logger *logrus.Logger,
 ) *mangolayout.Placer {
 	p := mangolayout.New(
-		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order), mangolayout.WithGiven(news.Given),
+		state, tenure, engines, board, mangolayout.WithLogger(logger), mangolayout.WithObserver(metrics.Order),
+		mangolayout.WithGiven(func(g mangolayout.Given) {
+			state.Ordered(mangoreplica.Sighting{Replica: g.Replica, Layers: g.Layers})
+			news.Given(g)
+		}),
 		mangolayout.WithSignal(state.Subscribe()), mangolayout.WithSightings(func(s mangoreplica.Sighting) {
 			state.See(s)
 			news.Sighted(s)
 		}),
 	)
-	news.Orders(p.Learn)
+	news.Orders(func(g mangolayout.Given) {
+		state.Ordered(mangoreplica.Sighting{Replica: g.Replica, Layers: g.Layers})
+		p.Learn(g)
+	})
 	return p
 }
 
--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -82,7 +82,8 @@
 		}
 		fleet := r.state.View().Fleet
 		for _, s := range stalls {
-			if lost := fleet.ByAddress(s.Address); lost != nil {
+			// A replica that gave up layers is not lost; the requests that wait there leave it by their silence.
+			if lost := fleet.ByAddress(s.Address); lost != nil && !lost.Moving {
 				r.avoid(lost, mangoreplica.CauseStalled, holdStalled, s.Request)
 				r.crashed(lost, r.fingerprints(lost))
 			}
--- a/internal/mangorelay/watch.go
+++ b/internal/mangorelay/watch.go
@@ -58,7 +58,7 @@
 		return min(soft, hard) - silent
 	case len(w.target.parts) == 0:
 		return hard - silent
-	case w.partLost(mangoreplica.Cause.Lost):
+	case w.partLost(mangoreplica.Cause.Lost), w.partMoved():
 		return 0
 	}
 	w.call.relay.examine(w.target, w.call.request.ID)
@@ -90,6 +90,19 @@
 	}
 }
 
+// partMoved reports whether a replica of the chain gave up layers that the chain uses. It still serves the requests that pass
+// through them unless it was ordered not to wait for these, which their silence shows.
+func (w *watch) partMoved() bool {
+	fleet := w.call.relay.state.View().Fleet
+	for _, p := range w.target.parts {
+		r := fleet.ByID(p.Replica.ID)
+		if r != nil && r.Moving && r.Born == p.Replica.Born && !r.Layers.Holds(p.Layers) {
+			return true
+		}
+	}
+	return false
+}
+
 // partLost reports whether a replica of the chain is avoided for a cause of some kind.
 func (w *watch) partLost(kind func(mangoreplica.Cause) bool) bool {
 	outages := w.call.relay.board.Outages(time.Now())
--- a/internal/mangorelay/watch_test.go
+++ b/internal/mangorelay/watch_test.go
@@ -14,6 +14,7 @@
 	"mangopath.org/mangopath/internal/mangopipeline"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangoroute"
+	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/internal/mangosuspect"
 )
 
@@ -56,7 +57,7 @@
 		{"a replica beside the chain has ended", mangoreplica.CauseEnded, "x", true, false},
 		{"nobody has said so", mangoreplica.CauseEnded, "s", false, false},
 		{"a part cannot be reached", mangoreplica.CauseUnreachable, "s", true, false},
-		{"a part is full", mangoreplica.CauseFull, "s", true, false},
+		{"a part moved", mangoreplica.CauseMoved, "s", true, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -71,6 +72,39 @@
 	}
 }
 
+// Guards against streams that wait at a part that was ordered to give up their layers without waiting for them, and against
+// ones that leave a part that still serves them.
+func TestWaitAtMovedPart(t *testing.T) {
+	held := mangoreplica.Range{To: 8}
+	tests := []struct {
+		name   string
+		layers mangoreplica.Range
+		moving bool
+		silent time.Duration
+		gone   bool
+	}{
+		{"it gave up the layers and is silent", mangoreplica.Range{From: 4, To: 8}, true, gapSoft, true},
+		{"it gave up the layers and still serves", mangoreplica.Range{From: 4, To: 8}, true, gapSoft / 2, false},
+		{"it took further layers", mangoreplica.Range{To: 9}, true, gapSoft, false},
+		{"its entry is behind", mangoreplica.Range{From: 4, To: 8}, false, gapSoft, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCall(mangoreplica.NewBoard())
+			c.started = true
+			c.relay.state = fixedState{&mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{
+				{ID: "r", Address: "127.0.0.1:1", Layers: held}, {ID: "s", Address: "127.0.0.1:2", Layers: tt.layers, Moving: tt.moving},
+			})}}
+			w := &watch{call: c, target: chain("r", "s")}
+			for i := range w.target.parts {
+				w.target.parts[i].Layers = held
+			}
+			is.Equal(w.wait(tt.silent) <= 0, tt.gone)
+		})
+	}
+}
+
 // Guards against requests that are not woken when a replica they pass through is lost, and against ones that are woken
 // after they have left it.
 func TestManifestWakes(t *testing.T) {
--- a/internal/mangoreplica/replica.go
+++ b/internal/mangoreplica/replica.go
@@ -11,6 +11,15 @@
 // Holds reports whether the range includes all layers of another one.
 func (r Range) Holds(o Range) bool { return r.From <= o.From && o.To <= r.To }
 
+// Intersect returns the layers that both ranges have.
+func (r Range) Intersect(o Range) Range {
+	both := Range{From: max(r.From, o.From), To: min(r.To, o.To)}
+	if both.Len() == 0 {
+		return Range{}
+	}
+	return both
+}
+
 // Replica is one start of a server of a service, as it describes itself in the store.
 type Replica struct {
 	ID         string
@@ -25,6 +34,8 @@
 	Accelerator string
 	// Layers are the layers that it holds; empty after a start.
 	Layers Range
+	// Moving says that it gave up layers by an order a moment ago. Requests that wait for these say nothing of its health.
+	Moving bool
 	// Born is the start of the process in Unix milliseconds; it tells starts under one id apart.
 	Born int64
 }
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -38,6 +38,7 @@
 	outside chan bool
 	shown   chan uint64
 	seen    chan mangoreplica.Sighting
+	ordered chan mangoreplica.Sighting
 	restart chan struct{}
 
 	state state
@@ -53,7 +54,8 @@
 func New(feed Feed, board *mangoreplica.Board, opts ...Option) *Controller {
 	c := &Controller{
 		feed: feed, board: board, logger: logrus.StandardLogger(), outside: make(chan bool, 1),
-		shown: make(chan uint64, 1), seen: make(chan mangoreplica.Sighting, maxSightings), restart: make(chan struct{}, 1),
+		shown: make(chan uint64, 1), seen: make(chan mangoreplica.Sighting, maxSightings),
+		ordered: make(chan mangoreplica.Sighting, maxSightings), restart: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(c)
@@ -100,6 +102,14 @@
 	}
 }
 
+// Ordered takes the layers that a replica was ordered to hold: it gives up the others at once. It never blocks.
+func (c *Controller) Ordered(s mangoreplica.Sighting) {
+	select {
+	case c.ordered <- s:
+	default:
+	}
+}
+
 // answer is the result of one call to the feed.
 type answer struct {
 	changes  []Change
@@ -145,6 +155,10 @@
 			if c.state.see(s, time.Now()) {
 				c.publish()
 			}
+		case s := <-c.ordered:
+			if c.state.narrow(s, time.Now()) {
+				c.publish()
+			}
 		case revision := <-c.shown:
 			// A store that counts as lost is no reason to ignore its revision: the watch may have gone silent with it and
 			// would miss its return.
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -18,6 +18,8 @@
 	replicas map[string]*mangoreplica.Replica
 	// sighted has the layers of replicas whose entries are behind.
 	sighted map[string]sighting
+	// moving has the replicas that gave up layers by an order, with its time.
+	moving map[string]time.Time
 	// missing has the replicas whose entries went away while the store was unwell.
 	missing map[string]bool
 	keys    map[string]string
@@ -42,11 +44,15 @@
 // follows within a heartbeat or two; one that does not change says that the replica went back to what it held.
 const sightingAge = 3 * time.Second
 
+// movingTime is the time after an order within which engines may still report requests that wait for the layers that were
+// given up; they give such requests up after about 2.5 s.
+const movingTime = 3 * time.Second
+
 func newState(logger logrus.FieldLogger, grace time.Duration) state {
 	return state{
 		logger: logger, grace: grace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{},
-		sighted: map[string]sighting{},
-		keys:    map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
+		sighted: map[string]sighting{}, moving: map[string]time.Time{},
+		keys: map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
 	}
 }
 
@@ -103,9 +109,14 @@
 	}
 	list := make([]*mangoreplica.Replica, 0, len(s.replicas))
 	for _, r := range s.replicas {
-		if g, ok := s.sighted[r.ID]; ok {
+		g, sighted := s.sighted[r.ID]
+		_, moving := s.moving[r.ID]
+		if sighted || moving {
 			copied := *r
-			copied.Layers = g.layers
+			copied.Moving = moving
+			if sighted {
+				copied.Layers = g.layers
+			}
 			r = &copied
 		}
 		list = append(list, r)
@@ -166,6 +177,9 @@
 	if old == nil || old.Layers != r.Layers || old.Born != r.Born {
 		delete(s.sighted, r.ID)
 	}
+	if old != nil && old.Born != r.Born {
+		delete(s.moving, r.ID)
+	}
 	if old != nil && *old == *r {
 		return false
 	}
@@ -204,6 +218,7 @@
 	delete(s.replicas, id)
 	delete(s.missing, id)
 	delete(s.sighted, id)
+	delete(s.moving, id)
 	s.logReplica("replica_gone", r).Info("the entry of a replica is gone")
 	return true
 }
@@ -230,6 +245,42 @@
 	return s.rebuild(true)
 }
 
+// narrow notes that a replica was ordered to hold layers; it reports whether it gives up some. Its entry says so up to a
+// heartbeat later, and requests that are sent there meanwhile are refused.
+func (s *state) narrow(o mangoreplica.Sighting, now time.Time) bool {
+	r := s.replicas[o.Replica.ID]
+	if r == nil || r.Born != o.Replica.Born {
+		return false
+	}
+	held := r.Layers
+	if g, ok := s.sighted[r.ID]; ok {
+		held = g.layers
+	}
+	kept := held.Intersect(o.Layers)
+	if kept == held {
+		return false
+	}
+	s.sighted[r.ID] = sighting{layers: kept, at: now}
+	s.moving[r.ID] = now
+	s.logger.WithFields(logrus.Fields{
+		"event": "replica_narrowed", "replica": r.ID, "layers_from": kept.From, "layers_to": kept.To,
+		"held_from": held.From, "held_to": held.To, "ordered_from": o.Layers.From, "ordered_to": o.Layers.To, "revision": s.revision,
+	}).Info("a replica gives up layers by an order")
+	return s.rebuild(true)
+}
+
+// forgetMoves drops the orders of a while ago.
+func (s *state) forgetMoves(now time.Time) bool {
+	changed := false
+	for id, at := range s.moving {
+		if now.Sub(at) > movingTime {
+			delete(s.moving, id)
+			changed = true
+		}
+	}
+	return s.rebuild(changed)
+}
+
 // forgetSightings drops those that the entries should have confirmed by now.
 func (s *state) forgetSightings(now time.Time) bool {
 	changed := false
@@ -244,10 +295,11 @@
 
 // sweep drops the entries that are still missing some time after the store's return.
 func (s *state) sweep(now time.Time) bool {
+	moved := s.forgetMoves(now)
 	if s.doubtful(now) {
-		return false
+		return moved
 	}
-	changed := s.forgetSightings(now)
+	changed := s.forgetSightings(now) || moved
 	for id := range s.missing {
 		changed = s.loseReplica(id, now) || changed
 	}
--- a/internal/mangostate/state_test.go
+++ b/internal/mangostate/state_test.go
@@ -181,3 +181,42 @@
 	cancel()
 	is.True(errors.Is(<-ended, context.Canceled))
 }
+
+// Guards against requests that are sent to layers that a replica has just been ordered to give up, and against a replica that
+// counts as moving, or without the layers it still holds, for ever.
+func TestNarrow(t *testing.T) {
+	r := func(from, to int) mangoreplica.Range { return mangoreplica.Range{From: from, To: to} }
+	tests := []struct {
+		name    string
+		ordered mangoreplica.Range
+		apply   func(s *state)
+		check   float64
+		want    mangoreplica.Range
+		moving  bool
+	}{
+		{"all layers change", r(20, 30), func(*state) {}, 0.5, r(0, 0), true},
+		{"some layers stay", r(5, 20), func(*state) {}, 0.5, r(5, 12), true},
+		{"layers are only added", r(0, 20), func(*state) {}, 0.5, r(0, 12), false},
+		{"the entry shows the new layers", r(5, 20), func(s *state) {
+			s.fold(answer{changes: []Change{{Replica: replica("r", 5, 20)}}}, at(0.5))
+		}, 1, r(5, 20), true},
+		{"the replica says that it has loaded", r(5, 20), func(s *state) {
+			s.see(mangoreplica.Sighting{Replica: mangoreplica.Incarnation{ID: "r"}, Layers: r(5, 20)}, at(0.5))
+		}, 1, r(5, 20), true},
+		{"the order was not carried out", r(20, 30), func(*state) {}, 4, r(0, 12), false},
+		{"the store is away", r(5, 20), func(s *state) { s.answered(false, at(0.5)) }, 4, r(5, 12), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(quiet(), time.Second)
+			known(&s, "r")
+			s.narrow(mangoreplica.Sighting{Replica: mangoreplica.Incarnation{ID: "r"}, Layers: tt.ordered}, at(0))
+			tt.apply(&s)
+			s.sweep(at(tt.check))
+			got := s.view().Fleet.ByID("r")
+			is.Equal(got.Layers, tt.want)
+			is.Equal(got.Moving, tt.moving)
+		})
+	}
+}
