Leave full replicas to begun streams for a moment

Cause: when one part of a data centre is full, every new request was sent there once and refused; each then spent one of the shared retries elsewhere, and begun streams found none left. The estimate of the memory in use is too low for daemons with few requests, so many of these refusals were taken for a fault of the replica.

Change: a replica that refused for want of room gets no new requests for 150 to 300 ms, but begun streams may still try it. Refusals count as such from an estimate of 0.4 of the memory on instead of 0.6. Replicas that hold old and new layers for a while keep room for 45,000 tokens instead of 25,000. The unused cause Full is gone.

--- a/internal/mangolayout/shift.go
+++ b/internal/mangolayout/shift.go
@@ -15,7 +15,7 @@
 	urgentCost = 2
 	// passingRoom is the room for requests that a replica keeps while it holds its old layers beside its new ones. It is
 	// below the usual use of a data centre, which lasts only until the old layers are trimmed.
-	passingRoom = 25000.0
+	passingRoom = 45000.0
 	// roomPerLayer is the room for requests that is worth the load of one layer.
 	roomPerLayer = 8000.0
 	// shiftRoomStep is the step between tries with less room.
--- a/internal/mangorelay/refusal_test.go
+++ b/internal/mangorelay/refusal_test.go
@@ -47,3 +47,33 @@
 		})
 	}
 }
+
+// Guards against new requests that are sent to a full replica one after the other, each of which costs a retry that a begun
+// stream needs, and against begun streams that wait although room may have come free.
+func TestFullReplicasAreLeftToBegunStreams(t *testing.T) {
+	tests := []struct {
+		name     string
+		pressure float64
+		started  bool
+		left     bool
+	}{
+		{"a new request after a refusal for want of room", fullPressure, false, true},
+		{"a begun stream", fullPressure, true, false},
+		{"a refusal for another reason", fullPressure / 2, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			board := mangoreplica.NewBoard()
+			refusing, next := newCall(board), newCall(board)
+			refusing.service = &mangoroute.Service{}
+			refusing.relay.state = fixedState{&mangostate.View{Fleet: mangoreplica.NewFleet(nil)}}
+			target := chain("r", "s")
+			target.pressure = tt.pressure
+			refusing.refusedBy(target, Answer{Status: http.StatusServiceUnavailable, FaultAt: "127.0.0.1:1"}, time.Millisecond)
+			next.started = tt.started
+			is.Equal(next.unusable("r"), tt.left)
+			is.True(!next.unusable("s"))
+		})
+	}
+}
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -99,8 +99,11 @@
 	return c.penalty[dataCentre] + c.relay.delays.Estimate(c.serviceName, dataCentre, time.Now())
 }
 
-// unusable reports whether a replica failed this request or has no room for it.
-func (c *call) unusable(id string) bool { return c.exclude[id] || c.full[id] }
+// unusable reports whether a replica failed this request or has no room for it. Requests that have not begun leave the room
+// that comes free at full replicas to those that have.
+func (c *call) unusable(id string) bool {
+	return c.exclude[id] || c.full[id] || (!c.started && c.relay.board.Full(id, time.Now()))
+}
 
 // excluded reports whether a replica is unusable or may have run the request.
 func (c *call) excluded(id string) bool { return c.unusable(id) || c.ranOn[id] }
--- a/internal/mangorelay/try.go
+++ b/internal/mangorelay/try.go
@@ -28,7 +28,7 @@
 	// stallSigns is the time after which a refusal is taken for the end of a wait for a lost part.
 	stallSigns = 1500 * time.Millisecond
 	// fullPressure is the estimated share of memory in use from which a refusal means that there is no room.
-	fullPressure = 0.6
+	fullPressure = 0.4
 	// retryPenalty sends a repeated request to another data centre if there is any with room: a loss of one part is often
 	// the start of the loss of all of them.
 	retryPenalty = 150 * time.Millisecond
@@ -208,6 +208,7 @@
 		c.relay.avoid(fault, mangoreplica.CauseFaulty, c.relay.board.Refused(fault.Incarnation(), time.Now()), c.request.ID)
 		c.relay.inquire(fault, c.service.HealthPath, c.request.ID)
 	default:
+		c.relay.board.Filled(fault.ID, c.relay.random(), time.Now())
 		c.relay.verify(fault, c.request.ID)
 	}
 	c.penalty[t.dataCentre] += retryPenalty
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -20,8 +20,6 @@
 	CauseStalled Cause = "Stalled"
 	// CauseSilent means that a request got no answer in time.
 	CauseSilent Cause = "Silent"
-	// CauseFull means that the replica refused a request for want of room.
-	CauseFull Cause = "Full"
 	// CauseMoved means that another replica answered at the address or that layers were missing.
 	CauseMoved Cause = "Moved"
 	// CauseLeaving means that the replica says that it takes no new requests.
@@ -64,11 +62,13 @@
 	refusals map[Incarnation]int
 	faults   map[Incarnation]faults
 	loads    map[string]*load
+	// full has the time until which a replica counts as full, by its id.
+	full map[string]time.Time
 }
 
 // NewBoard returns a board without observations.
 func NewBoard() *Board {
-	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, faults: map[Incarnation]faults{}, loads: map[string]*load{}}
+	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, faults: map[Incarnation]faults{}, loads: map[string]*load{}, full: map[string]time.Time{}}
 }
 
 // weight orders causes by what they say: a replica is in trouble, is probably lost, or is sure to fail.
@@ -255,6 +255,7 @@
 			delete(b.loads, id)
 		}
 	}
+	maps.DeleteFunc(b.full, func(id string, _ time.Time) bool { return fleet.ByID(id) == nil })
 	gone := func(i Incarnation, _ int) bool {
 		r := fleet.ByID(i.ID)
 		return r == nil || r.Born != i.Born
