Try begun streams for as long as their callers wait

Cause: a begun stream without a replica was cut 1.6 s after its last event, though its caller waits for 2 s and a new chain gives its first event after 60 ms.

Change: begun streams are tried until 0.5 s after the time that callers wait, with pauses of up to 0.6 s, so that the number of tries stays the same.

--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -17,14 +17,15 @@
 	// resumeStep is the pause before a begun stream tries replicas again that had no room for it.
 	resumeStep = 100 * time.Millisecond
 	// resumeStepMax bounds the pauses between tries, which double.
-	resumeStepMax = 400 * time.Millisecond
+	resumeStepMax = 600 * time.Millisecond
 	// callerPatience is the least time without an event after which callers leave a stream; they wait for patienceTargets
 	// times the target or patienceGaps times the longest pause if one of them is longer.
 	callerPatience  = 2 * time.Second
 	patienceTargets = 4
 	patienceGaps    = 8
-	// resumeMargin is kept of that time for the first event of the new chain.
-	resumeMargin = 400 * time.Millisecond
+	// patienceSlack is the time beyond that for which a begun stream is tried: the caller's clock starts when an event reaches
+	// it, and a caller that waits for longer can still get the rest.
+	patienceSlack = 500 * time.Millisecond
 	// keepForStreams is the share of the retry budget that is kept for streams that have begun.
 	keepForStreams = 0.4
 )
@@ -195,7 +196,7 @@
 
 // patienceEnd is the time until which a begun stream without further events tries to go on.
 func (c *call) patienceEnd() time.Time {
-	return c.lastEvent.Add(max(callerPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget) - resumeMargin)
+	return c.lastEvent.Add(max(callerPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget) + patienceSlack)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
