Find slow replicas and give their layers to copies

Cause: the pace of replicas was not read.

Change: a daemon whose first events or events are slow in a data centre asks the replicas there for their pace (mangopace) and tells the others; surveys are shared and rate-limited, slow replicas are asked again until they are well. Chains weigh the slowness of a part squared. Plans treat slow replicas as leaving as far as empty replicas and copies suffice; ranges of other replicas are not shifted for them. Reports are some hundred milliseconds old, so a survey that comes right after the change is repeated after 0.5 s.

Tests: TestSlowReplicaIsWatched, TestSurveysAreShared, TestPace, TestSlowReplicaIsRelieved, TestSlownessMovesNothingElse (500 cases).

--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -18,6 +18,7 @@
 	"mangopath.org/mangopath/internal/mangolog"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangonews"
+	"mangopath.org/mangopath/internal/mangopace"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangopipeline"
 	"mangopath.org/mangopath/internal/mangorelay"
@@ -54,6 +55,7 @@
 	news       *mangonews.News
 	poller     *mangostate.Poller
 	monitor    *mangoliveness.Monitor
+	pacer      *mangopace.Watcher
 	peers      *mangopeer.Client
 	placement  placementTenure
 	deputy     *mangodeputy.Deputy
@@ -68,12 +70,12 @@
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, lines *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, board *mangoreplica.Board, budget *mangobudget.Budget, suspects *mangosuspect.Suspects,
-	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, monitor *mangoliveness.Monitor, peers *mangopeer.Client, placement placementTenure, deputy *mangodeputy.Deputy, membership membership,
+	relay *mangorelay.Relay, news *mangonews.News, poller *mangostate.Poller, monitor *mangoliveness.Monitor, pacer *mangopace.Watcher, peers *mangopeer.Client, placement placementTenure, deputy *mangodeputy.Deputy, membership membership,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.Relay, registry *prometheus.Registry, phase *phase,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, lines: lines, self: self, controller: controller, board: board, budget: budget,
-		suspects: suspects, relay: relay, news: news, poller: poller, monitor: monitor, peers: peers, placement: placement, deputy: deputy, membership: membership, placer: placer,
+		suspects: suspects, relay: relay, news: news, poller: poller, monitor: monitor, pacer: pacer, peers: peers, placement: placement, deputy: deputy, membership: membership, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, phase: phase,
 	}
 }
@@ -125,6 +127,7 @@
 	run("news", func() error { return d.news.Run(inner) })
 	run("checks", func() error { return d.relay.Run(inner) })
 	run("monitor", func() error { return d.monitor.Run(inner) })
+	run("pacer", func() error { return d.pacer.Run(inner) })
 	run("poller", func() error { return d.poller.Run(duties) })
 	run("membership", func() error { return d.membership.Run(duties) })
 	run("placement", func() error { return d.placement.Run(duties) })
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -14,6 +14,7 @@
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangonews"
+	"mangopath.org/mangopath/internal/mangopace"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangorelay"
 	"mangopath.org/mangopath/internal/mangoreplica"
@@ -89,14 +90,23 @@
 
 func provideEngines(dialer *mangoconn.Dialer) *platform.Engines { return platform.NewEngines(dialer) }
 
+// provideWatcher is also where paces that other daemons learned arrive.
+func provideWatcher(
+	state *mangostate.Controller, engines *platform.Engines, board *mangoreplica.Board, news *mangonews.News, logger *logrus.Logger,
+) *mangopace.Watcher {
+	w := mangopace.New(state, engines, board, news.Paced, mangopace.WithLogger(logger))
+	news.Paces(w.Heard)
+	return w
+}
+
 func provideRelay(
 	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, board *mangoreplica.Board,
 	budget *mangobudget.Budget, suspects *mangosuspect.Suspects, engines *platform.Engines, news *mangonews.News,
-	metrics *mangometric.Relay, phase *phase, logger *logrus.Logger,
+	metrics *mangometric.Relay, phase *phase, pacer *mangopace.Watcher, logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, board, budget, suspects,
-		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithHerald(news),
+		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithHerald(news), mangorelay.WithPacer(pacer),
 		mangorelay.WithObserver(metrics), mangorelay.WithClosing(phase.stopping), mangorelay.WithClosed(phase.closed),
 	)
 }
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -17,7 +17,7 @@
 // providers has a constructor for each part of a daemon.
 var providers = wire.NewSet(
 	provideBoot, provideSelf, provideStore, provideController, provideBudget, provideSuspects, providePeers, provideNews,
-	providePoller, provideEngines, provideRelay, provideMonitor, provideDeputy, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
+	providePoller, provideEngines, provideWatcher, provideRelay, provideMonitor, provideDeputy, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
 	newDaemon, mangoreplica.NewBoard, mangoconn.New, mangometric.NewRelay,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -37,7 +37,8 @@
 	client := providePeers(settings)
 	news := provideNews(member, client, controller, board, suspects, logger)
 	mangoentryPhase := newPhase()
-	mangorelayRelay := provideRelay(settings, controller, dialer, board, budget, suspects, engines, news, relay, mangoentryPhase, logger)
+	watcher := provideWatcher(controller, engines, board, news, logger)
+	mangorelayRelay := provideRelay(settings, controller, dialer, board, budget, suspects, engines, news, relay, mangoentryPhase, watcher, logger)
 	poller := providePoller(controller, store, news)
 	monitor := provideMonitor(member, controller, mangorelayRelay, news, logger)
 	mangoentryBoot := provideBoot()
@@ -46,7 +47,7 @@
 	mangoentryMembership := provideMembership(settings, member, mangoentryBoot, store, controller, logger)
 	placer := providePlacer(controller, deputy, engines, board, news, relay, logger)
 	mangoentryIngress := newIngress(mangorelayRelay, controller, mangoentryPhase, logger)
-	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, monitor, client, mangoentryPlacementTenure, deputy, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
+	daemon := newDaemon(settings, logger, lines, member, controller, board, budget, suspects, mangorelayRelay, news, poller, monitor, watcher, client, mangoentryPlacementTenure, deputy, mangoentryMembership, placer, mangoentryIngress, relay, registry, mangoentryPhase)
 	return daemon, nil
 }
 
@@ -55,6 +56,6 @@
 // providers has a constructor for each part of a daemon.
 var providers = wire.NewSet(
 	provideBoot, provideSelf, provideStore, provideController, provideBudget, provideSuspects, providePeers, provideNews,
-	providePoller, provideEngines, provideRelay, provideMonitor, provideDeputy, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
+	providePoller, provideEngines, provideWatcher, provideRelay, provideMonitor, provideDeputy, provideTenure, provideMembership, providePlacer, provideRegistry, newPhase, newIngress,
 	newDaemon, mangoreplica.NewBoard, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangolayout/holdings.go
+++ b/internal/mangolayout/holdings.go
@@ -26,7 +26,9 @@
 			continue
 		}
 		requests, _ := p.board.InFlight(r.ID)
-		s := Holding{Replica: r, Layers: r.Layers, Settled: true, Requests: requests}
+		s := Holding{
+			Replica: r, Layers: r.Layers, Settled: true, Requests: requests, Slowness: p.board.Slowness(i, now),
+		}
 		if o, ok := p.pending[i]; ok {
 			switch {
 			case !now.Before(o.until), !o.blocked && r.Layers == o.layers:
--- a/internal/mangolayout/plan.go
+++ b/internal/mangolayout/plan.go
@@ -17,6 +17,8 @@
 	Settled bool
 	// Requests is the number of requests of this daemon that pass through it.
 	Requests int
+	// Slowness is the time of its steps in units of the usual one; 0 counts as 1.
+	Slowness float64
 	// Leaving replicas serve the requests that they have and no others; they count as holders of nothing.
 	Leaving bool
 }
@@ -88,8 +90,7 @@
 	slices.Sort(names)
 	var moves []Move
 	for _, n := range names {
-		p := newPlanner(engine, sites[n])
-		moves = append(moves, p.plan()...)
+		moves = append(moves, planSite(engine, sites[n])...)
 	}
 	return moves
 }
--- a/internal/mangonews/line.go
+++ b/internal/mangonews/line.go
@@ -23,6 +23,7 @@
 	revision uint64
 	claim    *Claim
 	given    []mangolayout.Given
+	paces    []mangoreplica.Pace
 }
 
 // with returns the batch with later news added.
@@ -30,6 +31,7 @@
 	b.outages = bounded(b.outages, o.outages)
 	b.sightings = bounded(b.sightings, o.sightings)
 	b.given = bounded(b.given, o.given)
+	b.paces = bounded(b.paces, o.paces)
 	b.revision = max(b.revision, o.revision)
 	if o.claim != nil {
 		b.claim = o.claim
@@ -47,7 +49,7 @@
 }
 
 func (b batch) empty() bool {
-	return len(b.outages) == 0 && len(b.sightings) == 0 && len(b.given) == 0 && b.revision == 0 && b.claim == nil
+	return len(b.outages) == 0 && len(b.sightings) == 0 && len(b.given) == 0 && len(b.paces) == 0 && b.revision == 0 && b.claim == nil
 }
 
 // message encodes a batch without suspicions.
@@ -69,6 +71,11 @@
 			LeftMs: milliseconds(g.Until.Sub(now)),
 		})
 	}
+	for _, p := range b.paces {
+		m.Paces = append(m.Paces, &mangomessage.Pace{
+			Replica: p.Replica.ID, Born: p.Replica.Born, Slowness: float32(p.Slowness), AgeMs: milliseconds(now.Sub(p.At)),
+		})
+	}
 	if b.claim != nil {
 		m.Claim = &mangomessage.Claim{Fence: b.claim.Fence, Holder: b.claim.Holder}
 	}
--- a/internal/mangonews/news.go
+++ b/internal/mangonews/news.go
@@ -61,6 +61,7 @@
 	suspect  func(r *mangoreplica.Replica)
 	claimed  func(from string, c Claim)
 	ordered  func(g mangolayout.Given)
+	paced    func(p mangoreplica.Pace, from string)
 
 	mu      sync.Mutex
 	waiting batch
@@ -101,6 +102,10 @@
 // Orders sets the receiver of orders that other daemons gave. It must be called before Run, and the receiver must not block.
 func (n *News) Orders(ordered func(g mangolayout.Given)) { n.ordered = ordered }
 
+// Paces sets the receiver of paces of replicas that other daemons asked. It must be called before Run, and the receiver must
+// not block.
+func (n *News) Paces(paced func(p mangoreplica.Pace, from string)) { n.paced = paced }
+
 // New returns News of a daemon.
 func New(
 	self mangostate.Member, client Exchanger, state State, board *mangoreplica.Board, suspects *mangosuspect.Suspects, opts ...Option,
@@ -109,6 +114,7 @@
 		self: self, client: client, state: state, board: board, suspects: suspects, logger: logrus.StandardLogger(),
 		wake: make(chan struct{}, 1), lines: map[string]*line{}, senders: map[string]sender{}, heard: func(uint64) {},
 		see: func(mangoreplica.Sighting) {}, suspect: func(*mangoreplica.Replica) {}, claimed: func(string, Claim) {}, ordered: func(mangolayout.Given) {},
+		paced: func(mangoreplica.Pace, string) {},
 	}
 	for _, o := range opts {
 		o(n)
@@ -130,6 +136,9 @@
 // Given queues an order of this daemon for the other daemons. It never blocks.
 func (n *News) Given(g mangolayout.Given) { n.queue(batch{given: []mangolayout.Given{g}}) }
 
+// Paced queues the pace of a replica for the other daemons. It never blocks.
+func (n *News) Paced(p mangoreplica.Pace) { n.queue(batch{paces: []mangoreplica.Pace{p}}) }
+
 // Claim queues a claim of this daemon for the other daemons. It never blocks.
 func (n *News) Claim(c Claim) { n.queue(batch{claim: &c}) }
 
@@ -248,6 +257,12 @@
 			Until:   now.Add(time.Duration(g.GetLeftMs()) * time.Millisecond),
 		})
 	}
+	for _, p := range request.GetPaces() {
+		n.paced(mangoreplica.Pace{
+			Replica: mangoreplica.Incarnation{ID: p.GetReplica(), Born: p.GetBorn()}, Slowness: float64(p.GetSlowness()),
+			At: now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
+		}, request.GetFrom().GetName())
+	}
 	if c := request.GetClaim(); c != nil {
 		n.claimed(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
 	}
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -39,6 +39,8 @@
 	Out(r mangoreplica.Incarnation, now time.Time) bool
 	// Faults returns the share of requests that the replica is expected to fail as the first of a chain.
 	Faults(r mangoreplica.Incarnation, now time.Time) float64
+	// Slowness returns the time of the replica's steps in units of the usual one.
+	Slowness(r mangoreplica.Incarnation, now time.Time) float64
 	InFlight(id string) (requests int, tokens float64)
 }
 
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -80,6 +80,8 @@
 	pressure float64
 	// spare says that the others hold all its layers.
 	spare bool
+	// slow replicas are no reason to keep others free.
+	slow bool
 	// faults is the share of requests that the replica fails as the first of a chain.
 	faults float64
 }
@@ -134,10 +136,12 @@
 		}
 		return least
 	}
-	order := make([]int, len(s.candidates))
+	var order []int
 	for i, c := range s.candidates {
-		order[i] = i
-		count(c.replica.Layers, 1)
+		if !c.slow {
+			order = append(order, i)
+			count(c.replica.Layers, 1)
+		}
 	}
 	slices.SortFunc(order, func(a, b int) int {
 		x, y := s.candidates[a].replica, s.candidates[b].replica
@@ -164,8 +168,11 @@
 		_, tokens := view.Loads.InFlight(r.ID)
 		pressure = (tokens*float64(max(view.Daemons, 1)) + request.Tokens) / capacity
 	}
+	// Queues at a slow replica grow faster than its steps.
+	slowness := view.Loads.Slowness(r.Incarnation(), view.Now)
 	return candidate{
-		replica: r, perLayer: step / (1 - min(pressure, maxPressure)), pressure: pressure,
+		replica: r, perLayer: step * slowness * slowness / (1 - min(pressure, maxPressure)), pressure: pressure,
+		slow:   slowness >= mangoreplica.SlowFrom,
 		faults: view.Loads.Faults(r.Incarnation(), view.Now),
 	}
 }
--- a/internal/mangorelay/overload.go
+++ b/internal/mangorelay/overload.go
@@ -34,6 +34,9 @@
 		from, all = returnFrom, returnAll
 	}
 	wait := float64(c.relay.delays.Estimate(c.serviceName, t.dataCentre, time.Now())) / float64(c.route.Target)
+	if wait >= slowFirst {
+		c.relay.pacer.Suspect(c.serviceName, t.dataCentre)
+	}
 	return wait > from+c.relay.random()*(all-from)
 }
 
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -68,6 +68,11 @@
 	Crashed()
 }
 
+// Pacer is told where requests are slow. It never blocks.
+type Pacer interface {
+	Suspect(service, dataCentre string)
+}
+
 // Observer counts what the relay does. It never blocks.
 type Observer interface {
 	Request(route, kind, outcome string, status int, took time.Duration)
@@ -83,6 +88,7 @@
 	dialer   Exchanger
 	prober   Prober
 	herald   Herald
+	pacer    Pacer
 	board    *mangoreplica.Board
 	budget   *mangobudget.Budget
 	suspects *mangosuspect.Suspects
@@ -116,6 +122,9 @@
 // WithHerald sets the means to tell other daemons of lost replicas.
 func WithHerald(h Herald) Option { return func(r *Relay) { r.herald = h } }
 
+// WithPacer sets the means to find out why requests are slow in a data centre.
+func WithPacer(p Pacer) Option { return func(r *Relay) { r.pacer = p } }
+
 // WithRandom replaces the source of random numbers in [0, 1).
 func WithRandom(f func() float64) Option { return func(r *Relay) { r.random = f } }
 
@@ -132,7 +141,7 @@
 ) *Relay {
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, board: board, budget: budget, suspects: suspects, local: dataCentre,
-		prober: noProber{}, herald: noHerald{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
+		prober: noProber{}, herald: noHerald{}, pacer: noPacer{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
 		closing: func() bool { return false }, closed: func(bool) bool { return false }, aboard: newManifest(), probes: newProbes(probeInterval),
 		checks: newProbes(probeInterval), health: newProbes(healthInterval), delays: mangodelay.New(),
 		tasks: make(chan func(ctx context.Context), maxTasks),
@@ -206,6 +215,10 @@
 
 func (noHerald) Crashed() {}
 
+type noPacer struct{}
+
+func (noPacer) Suspect(string, string) {}
+
 type noObserver struct{}
 
 func (noObserver) Request(string, string, string, int, time.Duration) {}
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -16,6 +16,10 @@
 	streamBuffer = 4 << 10
 	// gapWeight is the number of pauses that the mean of a stream's pauses follows.
 	gapWeight = 8
+	// slowGap and slowFirst are the usual pause of a stream and the wait for its first event, in units of the route's
+	// targets, from which the replicas are asked for their pace. On a calm day both are below a fifth.
+	slowGap   = 0.4
+	slowFirst = 0.3
 	// maxBuffered bounds an answer that is gathered before it is passed on.
 	maxBuffered = 16 << 20
 )
@@ -68,6 +72,7 @@
 		c.usualGap += (gap - c.usualGap) / gapWeight
 	}
 	c.lastEvent = time.Now()
+	c.suspectSlow(t)
 	if c.sendFirst == 0 {
 		c.sendFirst = c.lastEvent.Sub(c.sendBegan)
 		c.refusals = 0
@@ -82,6 +87,16 @@
 	return c.control.Flush()
 }
 
+// suspectSlow lets the replicas of a data centre be asked for their pace if events come much later than on a calm day.
+func (c *call) suspectSlow(t target) {
+	if len(t.parts) == 0 || c.route.GapTarget <= 0 {
+		return
+	}
+	if float64(c.usualGap) >= slowGap*float64(c.route.GapTarget) {
+		c.relay.pacer.Suspect(c.serviceName, t.dataCentre)
+	}
+}
+
 func (c *call) complete(t target, a Answer) result {
 	if !c.started {
 		c.head(a, -1)
--- a/internal/mangoreplica/board.go
+++ b/internal/mangoreplica/board.go
@@ -62,13 +62,17 @@
 	refusals map[Incarnation]int
 	faults   map[Incarnation]faults
 	loads    map[string]*load
+	paces    map[Incarnation]Pace
 	// full has the time until which a replica counts as full, by its id.
 	full map[string]time.Time
 }
 
 // NewBoard returns a board without observations.
 func NewBoard() *Board {
-	return &Board{outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, faults: map[Incarnation]faults{}, loads: map[string]*load{}, full: map[string]time.Time{}}
+	return &Board{
+		outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, faults: map[Incarnation]faults{}, loads: map[string]*load{}, full: map[string]time.Time{},
+		paces: map[Incarnation]Pace{},
+	}
 }
 
 // weight orders causes by what they say: a replica is in trouble, is probably lost, or is sure to fail.
@@ -261,5 +265,6 @@
 		return r == nil || r.Born != i.Born
 	}
 	maps.DeleteFunc(b.refusals, gone)
+	maps.DeleteFunc(b.paces, func(i Incarnation, _ Pace) bool { return gone(i, 0) })
 	maps.DeleteFunc(b.faults, func(i Incarnation, _ faults) bool { return gone(i, 0) })
 }
