Let messages and store calls of many daemons grow more slowly

Change: what a peer told is forwarded to about four peers instead of all; daemons tell their own reports to all as before. The pause between the later answers of a burst grows with the daemons from 120 ms at 8 to 0.8 s; the first change after 2 s is taken at once, and deployments of up to 8 daemons are as before. Tests: TestNewsIsForwardedToFew, TestBurstPause.

--- a/internal/mangonews/line.go
+++ b/internal/mangonews/line.go
@@ -118,7 +118,7 @@
 // suspicions are.
 func (n *News) tell(ctx context.Context, m mangostate.Member, l *line, b batch, after uint64) bool {
 	now := time.Now()
-	suspicions, next := n.suspects.News(after, now)
+	suspicions, next := n.suspects.NewsFor(m.Name, n.peerCount(), after, now)
 	if b.empty() && len(suspicions) == 0 {
 		return true
 	}
@@ -137,6 +137,13 @@
 	return true
 }
 
+// peerCount returns the number of daemons that are told the news.
+func (n *News) peerCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.lines)
+}
+
 func (n *News) anyUnreached() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -18,8 +18,14 @@
 	// deafAfter is the time for changes to arrive by the watch after another call has shown that there are some. A watch
 	// that is later than that is given up: it may wait on a connection that is dead, or at a store that dropped it.
 	deafAfter = 300 * time.Millisecond
-	// batchPause is the pause after an answer, so that a burst of changes comes as one.
-	batchPause = 120 * time.Millisecond
+	// batchPause is the pause after an answer, so that a burst of changes comes as one. Where many daemons follow the store,
+	// the pause between the later answers of a burst is longer, as each answer is paid for by all of them: it grows with
+	// the daemons beyond batchDaemons up to batchMax, which leaves time for a configuration to be in force within 2 s.
+	batchPause   = 120 * time.Millisecond
+	batchDaemons = 8
+	batchMax     = 800 * time.Millisecond
+	// burstEnd is the time without changes after which the next one counts as the first of a burst.
+	burstEnd = 2 * time.Second
 	// returnTime is the time after the store's return within which entries that lapsed come back.
 	returnTime = 2200 * time.Millisecond
 	// maxSightings bounds the sightings that wait for the control goroutine.
@@ -214,6 +220,7 @@
 // an error is needed because changes made before a restore of the store are in no history.
 func (c *Controller) read(ctx context.Context, answers chan<- answer) {
 	pause, fresh, revision := minPause, true, uint64(0)
+	var last time.Time
 	for ctx.Err() == nil {
 		a := answer{snapshot: fresh}
 		restarted := false
@@ -222,7 +229,11 @@
 		} else {
 			a, restarted = c.watch(ctx, revision)
 		}
-		wait := batchPause
+		now := time.Now()
+		wait := burstPause(len(c.View().Members), now.Sub(last))
+		if len(a.changes) > 0 {
+			last = now
+		}
 		switch {
 		case restarted:
 			continue
@@ -248,6 +259,14 @@
 	}
 }
 
+// burstPause returns the pause after an answer with changes, some time after the one before.
+func burstPause(daemons int, since time.Duration) time.Duration {
+	if since >= burstEnd {
+		return batchPause
+	}
+	return max(batchPause, min(batchPause*time.Duration(daemons)/batchDaemons, batchMax))
+}
+
 // watch waits for changes; restarted says that it was given up.
 func (c *Controller) watch(ctx context.Context, revision uint64) (a answer, restarted bool) {
 	select {
--- a/internal/mangostate/state_test.go
+++ b/internal/mangostate/state_test.go
@@ -220,3 +220,27 @@
 		})
 	}
 }
+
+// Guards against calls to the store that grow with daemons times changes, and against a small deployment, or the first
+// change of a burst, that waits for the sake of many daemons.
+func TestBurstPause(t *testing.T) {
+	tests := []struct {
+		name    string
+		daemons int
+		since   time.Duration
+		want    time.Duration
+	}{
+		{"nobody announced yet", 0, 0, batchPause},
+		{"few daemons", 8, 0, batchPause},
+		{"the first change of a burst", 69, burstEnd, batchPause},
+		{"more daemons", 24, batchPause, 3 * batchPause},
+		{"many daemons", 69, batchPause, batchMax},
+		{"daemons of the target size", 410, batchPause, batchMax},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(burstPause(tt.daemons, tt.since), tt.want)
+		})
+	}
+}
--- a/internal/mangosuspect/news.go
+++ b/internal/mangosuspect/news.go
@@ -13,6 +13,8 @@
 	at          time.Time
 	alone       bool
 	cleared     bool
+	// learned says that a peer told it.
+	learned bool
 }
 
 func (s *Suspects) tell(i item) {
@@ -26,6 +28,22 @@
 // News returns what was learned after a position of the log and the position to go on from; the exchanger keeps one
 // position for each peer, starting at 0, so that nothing is sent twice.
 func (s *Suspects) News(after uint64, now time.Time) ([]*mangomessage.Suspicion, uint64) {
+	return s.news(after, now, func(item) bool { return true })
+}
+
+// forwards is the number of peers that a daemon tells what another peer told it, where all daemons tell each other what they
+// noticed themselves. That reaches a daemon that is cut off from the first one: with n daemons, the share of news that misses
+// it is about exp(-forwards). To tell all would take the square of the number of daemons in messages.
+const forwards = 4
+
+// NewsFor is News for one of several peers that all daemons tell directly.
+func (s *Suspects) NewsFor(peer string, peers int, after uint64, now time.Time) ([]*mangomessage.Suspicion, uint64) {
+	return s.news(after, now, func(i item) bool {
+		return !i.learned || rank(s.self+"\x00"+i.crash+i.fingerprint, peer)%uint64(max(peers, 1)) < forwards
+	})
+}
+
+func (s *Suspects) news(after uint64, now time.Time, wanted func(i item) bool) ([]*mangomessage.Suspicion, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	skip := len(s.log)
@@ -37,7 +55,7 @@
 	var news []*mangomessage.Suspicion
 	for _, i := range s.log[skip:] {
 		age := now.Sub(i.at)
-		if age > s.expiry {
+		if age > s.expiry || !wanted(i) {
 			continue
 		}
 		news = append(news, &mangomessage.Suspicion{
--- a/internal/mangosuspect/passed.go
+++ b/internal/mangosuspect/passed.go
@@ -23,7 +23,7 @@
 	if passed >= maxPassed {
 		return
 	}
-	s.clear(fingerprint, now)
+	s.clear(fingerprint, now, false)
 	// Its hosts are free for the next suspect while the call goes on.
 	for host, f := range s.busy {
 		if f == fingerprint {
--- a/internal/mangosuspect/suspects.go
+++ b/internal/mangosuspect/suspects.go
@@ -63,7 +63,7 @@
 	s.expire(now)
 	alone := s.suspectsAmong(fingerprints) <= 1
 	for _, f := range fingerprints {
-		s.note(crashID, f, now, alone)
+		s.note(crashID, f, now, alone, false)
 	}
 }
 
@@ -74,7 +74,7 @@
 	if len(s.aboard[fingerprint]) == 0 {
 		return
 	}
-	s.clear(fingerprint, now)
+	s.clear(fingerprint, now, false)
 }
 
 // Merge adds what a peer sent. A pair of crash and fingerprint counts once, however often and from whom it comes.
@@ -88,15 +88,15 @@
 		case m.GetFingerprint() == "" || now.Sub(at) > s.expiry:
 		case m.GetCleared():
 			// The delays of both messages differ; a call that crashes upstreams does not complete shortly before.
-			s.clear(m.GetFingerprint(), at.Add(sameCrash))
+			s.clear(m.GetFingerprint(), at.Add(sameCrash), true)
 		case m.GetCrashId() != "":
-			s.note(m.GetCrashId(), m.GetFingerprint(), at, m.GetAlone())
+			s.note(m.GetCrashId(), m.GetFingerprint(), at, m.GetAlone(), true)
 		}
 	}
 }
 
-// note puts a fingerprint aboard a crash.
-func (s *Suspects) note(id, fingerprint string, at time.Time, alone bool) {
+// note puts a fingerprint aboard a crash; learned says that a peer told it.
+func (s *Suspects) note(id, fingerprint string, at time.Time, alone, learned bool) {
 	c := s.crash(id, at)
 	if c.aboard[fingerprint] {
 		return
@@ -106,7 +106,7 @@
 	}
 	c.aboard[fingerprint] = true
 	s.aboard[fingerprint] = append(s.aboard[fingerprint], c)
-	s.tell(item{fingerprint: fingerprint, crash: id, at: at, alone: alone})
+	s.tell(item{fingerprint: fingerprint, crash: id, at: at, alone: alone, learned: learned})
 }
 
 // crash returns the crash of an id, which may be one of the same host that another daemon noticed.
@@ -129,7 +129,7 @@
 }
 
 // clear takes a fingerprint off the crashes up to a time; false in aboard keeps late reports from undoing it.
-func (s *Suspects) clear(fingerprint string, at time.Time) {
+func (s *Suspects) clear(fingerprint string, at time.Time, learned bool) {
 	var left []*crash
 	for _, c := range s.aboard[fingerprint] {
 		if c.at.After(at) {
@@ -142,7 +142,7 @@
 		return
 	}
 	s.keep(fingerprint, left)
-	s.tell(item{fingerprint: fingerprint, at: at, cleared: true})
+	s.tell(item{fingerprint: fingerprint, at: at, cleared: true, learned: learned})
 }
 
 func (s *Suspects) keep(fingerprint string, left []*crash) {
--- a/internal/mangosuspect/suspects_test.go
+++ b/internal/mangosuspect/suspects_test.go
@@ -1,6 +1,7 @@
 package mangosuspect
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,3 +78,44 @@
 	news, _ = a.News(next, now)
 	is.Equal(len(news), 0)
 }
+
+// Guards against messages that grow with the square of the number of daemons, and against a daemon that is cut off from the
+// one that noticed a crash and never learns of it.
+func TestNewsIsForwardedToFew(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	const daemons = 69
+	var all []*Suspects
+	for i := range daemons {
+		all = append(all, New(fmt.Sprint("d", i)))
+	}
+	const crashes = 40
+	for c := range crashes {
+		all[0].Report(NewCrashID(fmt.Sprint("host", c)), []string{fmt.Sprint("f", c)}, now.Add(time.Duration(c)*time.Minute/crashes))
+	}
+	now = now.Add(time.Minute)
+	own, _ := all[0].NewsFor("d1", daemons-1, 0, now)
+	is.Equal(len(own), crashes) // its own reports go to all
+	// The last daemon is cut off from the first one.
+	forwarded, missed := 0, map[string]bool{}
+	for c := range crashes {
+		missed[fmt.Sprint("f", c)] = true
+	}
+	for i := 1; i < daemons-1; i++ {
+		all[i].Merge(own, now)
+		for p := 1; p < daemons; p++ {
+			if p == i {
+				continue
+			}
+			news, _ := all[i].NewsFor(fmt.Sprint("d", p), daemons-1, 0, now)
+			forwarded += len(news)
+			for _, s := range news {
+				if p == daemons-1 {
+					delete(missed, s.GetFingerprint())
+				}
+			}
+		}
+	}
+	is.True(forwarded <= crashes*daemons*(forwards+1))
+	is.True(len(missed) <= crashes/10)
+}
