Count crashes together as one and take arrangements with the fewest changes

Two replicas in two data centres end in the same moment; 68 streams that were sent on from the first one had begun at the second one, which was lost already, and were held as crashing (CrashesUpstreams). And nine replicas of a data centre were trimmed at once, several to one layer, where two had too little room: giving up layers costs nothing in an arrangement.

Change: on the platform, crashes within 40 ms of each other count as one, since a request cannot be sent on and begin in that time. Each change of a range costs a little, so that of equal arrangements the one with the fewest changes is taken. TestCrashesTogether and TestTrimsAreFew fail without the changes.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -30,6 +30,9 @@
 	placementLease = 2 * time.Second
 	// memberLease is the time for which a daemon that stopped is still counted.
 	memberLease = 4 * time.Second
+	// crashTogether is less than the time that an engine takes to begin a request which another one has just lost: reading a
+	// usual prompt takes about 50 ms.
+	crashTogether = 40 * time.Millisecond
 	// storeCallTimeout bounds a call that keeps a lease.
 	storeCallTimeout = 600 * time.Millisecond
 )
@@ -63,7 +66,7 @@
 }
 
 func provideSuspects(s *mangomessage.RelaySettings) *mangosuspect.Suspects {
-	return mangosuspect.New(s.GetHost().GetName())
+	return mangosuspect.New(s.GetHost().GetName(), mangosuspect.WithTogether(crashTogether))
 }
 
 func providePeers(s *mangomessage.RelaySettings) *mangopeer.Client {
--- a/internal/mangolayout/arrange.go
+++ b/internal/mangolayout/arrange.go
@@ -16,6 +16,9 @@
 	// passingRoom is the room for requests that a replica keeps while it holds its old layers beside its new ones. It is
 	// below the usual use of a data centre, but lasts only until the old layers are trimmed.
 	passingRoom = 45000.0
+	// layerCost is the cost of a layer to load; each change costs 1 beside it, so that of equal arrangements the one with the
+	// fewest changes is taken.
+	layerCost = 1 << 10
 	// unreachable is above the cost of any arrangement.
 	unreachable = 1 << 30
 )
@@ -26,6 +29,9 @@
 	cost   int
 }
 
+// loads returns the layers to load, with those that stand for waits.
+func (a arrangement) loads() int { return a.cost / layerCost }
+
 // inOrder returns the replicas that hold layers by their first layer.
 func (p *planner) inOrder() []int {
 	var order []int
@@ -123,10 +129,10 @@
 	return after
 }
 
-// moveCost is the cost of a new range of a replica, in layers to load, if the terms allow it.
+// moveCost is the cost of a new range of a replica, if the terms allow it.
 func (p *planner) moveCost(s Holding, r mangoreplica.Range, t terms) (int, bool) {
 	kept := max(0, min(r.To, s.Layers.To)-max(r.From, s.Layers.From))
-	cost := r.Len() - kept
+	cost := (r.Len()-kept)*layerCost + 1
 	if kept == s.Layers.Len() {
 		return cost, true
 	}
@@ -137,9 +143,9 @@
 		return cost, !t.grow
 	}
 	if p.broken {
-		return cost + urgentCost, !t.grow && !t.level
+		return cost + urgentCost*layerCost, !t.grow && !t.level
 	}
-	return cost + giveUpCost, !t.grow && !t.level
+	return cost + giveUpCost*layerCost, !t.grow && !t.level
 }
 
 // beside returns a new range together with the layers that the replica holds already, if both leave room for requests. It
--- a/internal/mangolayout/level.go
+++ b/internal/mangolayout/level.go
@@ -29,7 +29,7 @@
 		a, ok := p.arrange(settled, terms{room: room, level: true})
 		switch {
 		case !ok || len(a.layers) == 0:
-		case a.cost == 0:
+		case a.loads() == 0:
 			for _, i := range sortedKeys(a.layers) {
 				p.take(i, a.layers[i], Trim)
 			}
@@ -59,7 +59,7 @@
 		return
 	}
 	order := p.inOrder()
-	best := arrangement{cost: reserveLoad + 1}
+	best := arrangement{cost: (reserveLoad + 1) * layerCost}
 	for _, i := range p.smallest(order, maxCandidates) {
 		others := slices.DeleteFunc(slices.Clone(order), func(o int) bool { return o == i })
 		if a, ok := p.arrange(others, terms{room: p.room, grow: true}); ok && a.cost < best.cost {
--- a/internal/mangolayout/shift.go
+++ b/internal/mangolayout/shift.go
@@ -31,7 +31,7 @@
 	best, score := arrangement{}, unreachable
 	for room := p.room; room >= min(p.room, leastRoom) && (room >= calmRoom || (settled && score == unreachable)); room -= shiftRoomStep {
 		a, ok := p.reorder(gaps[0], room)
-		if s := a.cost + int((p.room-room)/roomPerLayer); ok && s < score {
+		if s := a.cost + int((p.room-room)/roomPerLayer*layerCost); ok && s < score {
 			best, score = a, s
 		}
 	}
--- a/internal/mangolayout/shift_test.go
+++ b/internal/mangolayout/shift_test.go
@@ -200,3 +200,36 @@
 		})
 	}
 }
+
+// Guards against replicas that give up layers although they have room enough: a plan once left several replicas of a data
+// centre with one layer each.
+func TestTrimsAreFew(t *testing.T) {
+	is := is.New(t)
+	layers := map[string]mangoreplica.Range{
+		"a100s-0": {From: 0, To: 14}, "a100s-1": {From: 13, To: 29}, "l4-0": {From: 28, To: 38}, "l4-1": {From: 33, To: 40},
+		"l4-2": {From: 38, To: 47}, "l4-3": {From: 47, To: 54}, "t4-0": {From: 53, To: 59}, "t4-1": {From: 59, To: 64},
+		"t4-2": {From: 64, To: 70}, "t4-3": {From: 69, To: 75}, "t4-4": {From: 74, To: 80}, "t4-5": {From: 64, To: 69}, "t4-6": {From: 47, To: 53},
+	}
+	states := fleet(sites()[2])
+	for i, s := range states {
+		states[i].Layers = layers[s.Replica.ID]
+	}
+	p := newPlanner(engine(), states)
+	p.chooseRoom()
+	trimmed := 0
+	for range 4 {
+		moves := Plan(engine(), states)
+		for _, m := range moves {
+			if m.Reason != Trim {
+				continue
+			}
+			trimmed++
+			at := slices.IndexFunc(states, func(s Holding) bool { return s.Replica.ID == m.Replica.ID })
+			if held := states[at].Layers.Len(); held <= p.engine.MaxLayers(m.Replica.Accelerator, p.room) {
+				t.Errorf("%s has room for its %d layers and is left with %v", m.Replica.ID, held, m.Layers)
+			}
+		}
+		carryOut(states, moves)
+	}
+	is.True(trimmed > 0)
+}
--- a/internal/mangosuspect/suspects.go
+++ b/internal/mangosuspect/suspects.go
@@ -21,7 +21,9 @@
 type Suspects struct {
 	mu     sync.Mutex
 	expiry time.Duration
-	settle time.Duration
+	// together is the time within which crashes of several hosts count as one.
+	together time.Duration
+	settle   time.Duration
 	// crashes are in order of arrival; ids maps all ids of a crash to it.
 	crashes []*crash
 	ids     map[string]*crash
--- a/internal/mangosuspect/suspects_test.go
+++ b/internal/mangosuspect/suspects_test.go
@@ -119,3 +119,31 @@
 	is.True(forwarded <= crashes*daemons*(forwards+1))
 	is.True(len(missed) <= crashes/10)
 }
+
+// Guards against streams that are held back as crashing because they were sent on to a data centre that lost a replica at the
+// same moment as the first one, and against a crashing request that is not held after it crashed one replica after another.
+func TestCrashesTogether(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name  string
+		apart time.Duration
+		held  bool
+	}{
+		{"at the same moment", 0, false},
+		{"sooner than a request can be sent on and begin", 39 * time.Millisecond, false},
+		{"later", 41 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New("one", WithTogether(40*time.Millisecond))
+			// Reports of the second crash may arrive first.
+			s.Report(NewCrashID("y"), []string{"p"}, now.Add(tt.apart))
+			s.Report(NewCrashID("x"), []string{"p"}, now)
+			is.Equal(s.Held("p", now.Add(time.Second)), tt.held)
+			is.Equal(s.Check("p", now.Add(time.Second)), Suspect)
+			s.Report(NewCrashID("z"), []string{"p"}, now.Add(time.Second))
+			is.True(s.Held("p", now.Add(2*time.Second))) // a further crash counts
+		})
+	}
+}
--- a/internal/mangosuspect/verdict.go
+++ b/internal/mangosuspect/verdict.go
@@ -1,6 +1,9 @@
 package mangosuspect
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Verdict is what is known about a fingerprint.
 type Verdict int
@@ -39,7 +42,7 @@
 
 // judge returns the verdict, and whether reports that decide it may still be on their way.
 func (s *Suspects) judge(fingerprint string, now time.Time) (Verdict, bool) {
-	crashes := s.live(fingerprint, now)
+	crashes := s.apart(s.live(fingerprint, now))
 	if len(crashes) == 0 {
 		return Clear, false
 	}
@@ -57,6 +60,21 @@
 	return Suspect, false
 }
 
+// apart returns the crashes without those that came together with an earlier one.
+func (s *Suspects) apart(crashes []*crash) []*crash {
+	if s.together <= 0 || len(crashes) < 2 {
+		return crashes
+	}
+	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	kept := sorted[:1]
+	for _, c := range sorted[1:] {
+		if c.at.Sub(kept[len(kept)-1].at) >= s.together {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
 func (s *Suspects) live(fingerprint string, now time.Time) []*crash {
 	var live []*crash
 	for _, c := range s.aboard[fingerprint] {
