Log crashes with the requests aboard

Change: a daemon that finds a replica crashed logs crash_reported with the fingerprints of the requests aboard, 64 at most; request_done has the fingerprint with this outcome. The golden file of lines has both. A function of the plan is named for what it reports.

--- a/internal/mangolayout/relieve.go
+++ b/internal/mangolayout/relieve.go
@@ -15,7 +15,7 @@
 	for n := len(slowest(states)); ; n-- {
 		p := newPlanner(engine, relieved(states, n))
 		moves := p.plan()
-		if n == 0 || p.isModest(moves) {
+		if n == 0 || p.keepsServing(moves) {
 			return moves
 		}
 	}
@@ -42,8 +42,8 @@
 	return changed
 }
 
-// isModest reports whether all layers have a holder after moves that take none from replicas that serve.
-func (p *planner) isModest(moves []Move) bool {
+// keepsServing reports whether all layers have a holder after moves that take none from replicas that serve well.
+func (p *planner) keepsServing(moves []Move) bool {
 	if p.cover == nil || len(p.gaps()) > 0 {
 		return false
 	}
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -136,7 +136,7 @@
 	c.relay.budget.Request(c.serviceName, time.Now())
 	c.fingerprint = c.print()
 	if c.crashes() {
-		c.refuse("CrashesUpstreams", http.StatusServiceUnavailable, retryCondemned)
+		c.refuse(crashesUpstreams, http.StatusServiceUnavailable, retryCondemned)
 		return false
 	}
 	return true
--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	probeInterval = 150 * time.Millisecond
 	// healthInterval is the least time between two questions to one replica whether it takes requests.
 	healthInterval = time.Second
+	// maxFingerprints bounds the fingerprints in one line of a log.
+	maxFingerprints = 64
 	// holdLeaving is the time for which a replica that says that it is leaving is avoided; it is asked again after it
 	// refuses another request.
 	holdLeaving = 3 * time.Second
@@ -192,8 +195,13 @@
 // request passes through many replicas there, and all of them are lost together with their power or their network, while a
 // request that crashes replicas is sent to another data centre next.
 func (r *Relay) crashed(replica *mangoreplica.Replica, aboard []string) {
-	if len(aboard) > 0 {
-		r.suspects.Report(mangosuspect.NewCrashID(replica.DataCentre+"/"+replica.Service), aboard, time.Now())
-		r.herald.Crashed()
+	if len(aboard) == 0 {
+		return
 	}
+	r.suspects.Report(mangosuspect.NewCrashID(replica.DataCentre+"/"+replica.Service), aboard, time.Now())
+	r.herald.Crashed()
+	r.logger.WithFields(logrus.Fields{
+		"event": "crash_reported", "replica": replica.ID, "address": replica.Address, "data_centre": replica.DataCentre,
+		"requests": len(aboard), "fingerprints": strings.Join(aboard[:min(len(aboard), maxFingerprints)], ","),
+	}).Warn("a replica crashed with requests aboard")
 }
--- a/internal/mangorelay/line_test.go
+++ b/internal/mangorelay/line_test.go
@@ -47,6 +47,9 @@
 	c.finish(false)
 	c.relay.avoid(&mangoreplica.Replica{ID: "r"}, mangoreplica.CauseUnreachable, time.Second, "q")
 	c.relay.trust(&mangoreplica.Replica{ID: "r"}, "q")
+	c.relay.crashed(&mangoreplica.Replica{ID: "r"}, []string{"f", "g"})
+	c.outcome = crashesUpstreams
+	c.finish(true)
 	var lines []string
 	for line := range strings.Lines(out.String()) {
 		var keys []string
--- a/internal/mangorelay/lines.go
+++ b/internal/mangorelay/lines.go
@@ -52,6 +52,9 @@
 	if c.outcome == noUpstream {
 		entry = entry.WithField("covered", strings.Join(c.covered(), ","))
 	}
+	if c.outcome == crashesUpstreams {
+		entry = entry.WithField("fingerprint", c.fingerprint)
+	}
 	if c.outcome == "Delivered" {
 		entry.Info("a request ended")
 		return
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -33,6 +33,8 @@
 const (
 	// noUpstream is the outcome of requests for which no chain or replica was left.
 	noUpstream = "NoUpstream"
+	// crashesUpstreams is the outcome of requests that were aboard several crashes.
+	crashesUpstreams = "CrashesUpstreams"
 	// budgetSpent is the outcome of requests for which no retry was left.
 	budgetSpent = "BudgetSpent"
 )
@@ -146,7 +148,7 @@
 	case c.exhausted() && (!c.started || !c.ranOn[t.first.ID]):
 		return "TooManyAttempts"
 	case len(c.ranOn) > 0 && c.crashes():
-		return "CrashesUpstreams"
+		return crashesUpstreams
 	case c.arrivals > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), c.keep(), time.Now()):
 		return budgetSpent
 	}
