--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -124,8 +124,8 @@
 	return sites
 }
 
-// markSpares marks the replicas whose layers the others hold as well, the smallest first. All daemons mark the same ones, as
-// they know the same entries.
+// markSpares marks the replicas whose layers the others hold as well, the smallest first. Daemons that know the same entries
+// and avoid the same replicas mark the same ones.
 func (s *site) markSpares(layers int) {
 	holders := make([]int, layers)
 	count := func(r mangoreplica.Range, n int) (least int) {
