Accept fractions, large and missing numbers in the platform's settings

Memory, durations and the ratio had narrow ranges, and a number that the platform does not give left a bare unit.

Change: Slack is a Ratio; durations and sizes of a relay may have a fraction, of which the rest below a millisecond or a byte is dropped; larger ranges; the template leaves a key out that has no value. Wrong values still end with status 2 and name the key.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -63,7 +63,7 @@
 
 func retryLimit(s *mangomessage.RelaySettings) mangobudget.Limit {
 	r := s.GetRetry()
-	return mangobudget.Limit{Ratio: r.GetRatio(), Slack: float64(r.GetSlack()), Window: milliseconds(r.GetWindow())}
+	return mangobudget.Limit{Ratio: r.GetRatio(), Slack: r.GetSlack(), Window: milliseconds(r.GetWindow())}
 }
 
 func provideCrashTracker(s *mangomessage.RelaySettings) *mangocrash.CrashTracker {
--- a/internal/mangosetting/value.go
+++ b/internal/mangosetting/value.go
@@ -21,14 +21,19 @@
 
 // sizeUnits returns the units of sizes, the largest first, so that formatSize finds the largest one that divides a size
 // and parseSize matches KiB before B.
-func sizeUnits() []sizeUnit {
-	return []sizeUnit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+func sizeUnits() []unit {
+	return []unit{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
 }
 
-// sizeUnit is a unit of a size and its number of bytes.
-type sizeUnit struct {
-	name  string
-	bytes int64
+// durationUnits returns the units of durations with fractions; ms stands before s, which it ends with.
+func durationUnits() []unit {
+	return []unit{{"ms", 1}, {"s", 1000}, {"m", 60 * 1000}, {"h", 60 * 60 * 1000}}
+}
+
+// unit is a unit of a size or a duration, in its smallest unit: bytes or milliseconds.
+type unit struct {
+	name     string
+	smallest int64
 }
 
 // parseValue parses the text of a field, or of one item of a list, by the format of its rule. It also returns what is wrong
@@ -37,9 +42,9 @@
 	rule := ruleOf(f)
 	switch rule.GetFormat() {
 	case mangomessage.Format_Duration:
-		return parseInRange(rule, text, parseDuration)
+		return parseInRange(rule, text, durationParser(rule))
 	case mangomessage.Format_Size:
-		return parseInRange(rule, text, parseSize)
+		return parseInRange(rule, text, sizeParser(rule))
 	case mangomessage.Format_Number:
 		return parseInRange(rule, text, parseNumber)
 	case mangomessage.Format_Ratio:
@@ -89,6 +94,46 @@
 	return protoreflect.ValueOfFloat64(n), problem
 }
 
+// durationParser returns the parser of durations that a rule asks for.
+func durationParser(rule *mangomessage.Rule) func(string) (int64, string) {
+	if rule.GetFraction() {
+		return func(text string) (int64, string) {
+			return parseFraction(text, durationUnits(), "not a duration with a unit")
+		}
+	}
+	return parseDuration
+}
+
+// sizeParser returns the parser of sizes that a rule asks for.
+func sizeParser(rule *mangomessage.Rule) func(string) (int64, string) {
+	if rule.GetFraction() {
+		return func(text string) (int64, string) { return parseFraction(text, sizeUnits(), "not a size with a unit") }
+	}
+	return parseSize
+}
+
+// parseFraction returns the number before a unit, which may have a fraction or an exponent, in the smallest unit. A rest
+// below the smallest unit is dropped. malformed describes a text without a number and a unit.
+func parseFraction(text string, units []unit, malformed string) (int64, string) {
+	for _, u := range units {
+		digits, found := strings.CutSuffix(text, u.name)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+		if err != nil {
+			return 0, malformed
+		}
+		n *= float64(u.smallest)
+		// Every comparison with NaN is false, so the negated one makes NaN out of range.
+		if !(n >= 0 && n < 1<<62) {
+			return 0, "out of range"
+		}
+		return int64(n), ""
+	}
+	return 0, malformed
+}
+
 // parseDuration returns a duration in milliseconds.
 func parseDuration(text string) (int64, string) {
 	d, err := time.ParseDuration(text)
@@ -109,10 +154,10 @@
 		if err != nil {
 			return 0, "not a size with a unit"
 		}
-		if n < 0 || n > (1<<62)/u.bytes {
+		if n < 0 || n > (1<<62)/u.smallest {
 			return 0, "out of range"
 		}
-		return n * u.bytes, ""
+		return n * u.smallest, ""
 	}
 	return 0, "not a size with a unit"
 }
@@ -210,8 +255,8 @@
 // formatSize formats a size in bytes with the largest unit that divides it.
 func formatSize(bytes int64) string {
 	for _, u := range sizeUnits() {
-		if bytes%u.bytes == 0 && bytes >= u.bytes {
-			return fmt.Sprintf("%d%s", bytes/u.bytes, u.name)
+		if bytes%u.smallest == 0 && bytes >= u.smallest {
+			return fmt.Sprintf("%d%s", bytes/u.smallest, u.name)
 		}
 	}
 	return fmt.Sprintf("%dB", bytes)
