Stop sending to replicas that say they leave, and pause those that ask for it

Cause: a replica that leaves says so in all its answers (Server-Leaving), and one that refuses with 503 may name a time (Retry-After). Both were passed over: a leaving replica got requests until its entry changed, and a plain service went on sending to a replica that had asked to be left alone.

Change: mangoreplica.Notice, decoded in platform/ from answers to requests, orders, reports and health checks. Leaving holds for one start of the replica, also when its entry vanishes and comes back, excludes it from chains, retries and resumed streams, and is told to the other daemons under the cause Stopping with the start of the replica. A pause holds for this daemon, for at most five minutes; a paused replica gets no request and no order. If pauses leave no replica, the caller is refused at once with the time at which the first pause ends, plus up to a quarter.

--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -283,7 +283,12 @@
 	for _, o := range request.GetOutages() {
 		r := fleet.ByID(o.GetReplica())
 		left := time.Duration(int64(o.GetHoldMs())-int64(o.GetAgeMs())) * time.Millisecond
-		if r == nil || left <= 0 {
+		// A daemon of an earlier version does not send the start of the replica.
+		if r == nil || left <= 0 || (o.GetBorn() != 0 && o.GetBorn() != r.Born) {
+			continue
+		}
+		if mangoreplica.Cause(o.GetCause()) == mangoreplica.CauseStopping {
+			br.markLeaving(r, o.GetBorn(), request.GetFrom().GetName(), now)
 			continue
 		}
 		if br.health.Avoid(r.Incarnation(), mangoreplica.Cause(o.GetCause()), min(left, maxPeerHold), now) {
@@ -297,6 +302,15 @@
 	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: br.self.Name, Address: br.self.Address}}, nil
 }
 
+// markLeaving records that a replica told another daemon that it is leaving, if it is the same start of the replica.
+func (br *Broadcaster) markLeaving(r *mangoreplica.Replica, born int64, peer string, now time.Time) {
+	if r.Born != born || !br.health.MarkLeaving(r.Incarnation(), now) {
+		return
+	}
+	br.logger.WithFields(logrus.Fields{"event": "replica_leaving", "replica": r.ID, "address": r.Address, "peer": peer}).
+		Info("another daemon was told by a replica that it is leaving")
+}
+
 // Fetch implements mangopeer.Handler. It always fails, since this kind of daemon keeps no history of profiles.
 func (br *Broadcaster) Fetch(context.Context, *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
 	return nil, &Error{Op: "Fetch", Kind: KindNotServed}
--- a/internal/mangobroadcast/broadcaster_test.go
+++ b/internal/mangobroadcast/broadcaster_test.go
@@ -86,3 +86,30 @@
 	}
 	is.Equal(checked, []string{"r"})
 }
+
+// Guards against a replica that other daemons go on using after it told one of them that it is leaving, and against a later
+// start of it, or one whose health check failed for a moment, that they leave out for ever.
+func TestAnnouncedStopLasts(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause mangoreplica.Cause
+		born  int64
+		want  bool
+	}{
+		{"it said so in an answer", mangoreplica.CauseStopping, 0, true},
+		{"an earlier start said so", mangoreplica.CauseStopping, 5, false},
+		{"its health check says so", mangoreplica.CauseLeaving, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			br := newBroadcaster("one", "two")
+			_, err := br.Exchange(t.Context(), &mangomessage.ExchangeRequest{
+				From:    &mangomessage.Member{Name: "two", Address: "two:1"},
+				Outages: []*mangomessage.Outage{{Replica: "r", Cause: string(tt.cause), HoldMs: 3000, Born: tt.born}},
+			})
+			is.NoErr(err)
+			is.Equal(br.health.Leaving(mangoreplica.Incarnation{ID: "r"}), tt.want)
+		})
+	}
+}
--- a/internal/mangobroadcast/queue.go
+++ b/internal/mangobroadcast/queue.go
@@ -60,7 +60,7 @@
 	m := &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: self.Name, Address: self.Address}, Revision: b.revision}
 	for _, o := range b.outages {
 		m.Outages = append(m.Outages, &mangomessage.Outage{
-			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)),
+			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)), Born: o.Replica.Born,
 		})
 	}
 	for _, r := range b.layerReports {
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -92,8 +92,10 @@
 	return p
 }
 
-func provideEngines(dialer *mangoconn.Dialer) *platform.ReplicaClient {
-	return platform.NewReplicaClient(dialer)
+func provideEngines(
+	dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker, broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger,
+) *platform.ReplicaClient {
+	return platform.NewReplicaClient(dialer, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, broadcaster, logger)))
 }
 
 // provideSlowDetector also makes the broadcaster deliver the slowness of replicas that other daemons have probed.
--- a/internal/mangolayout/replicastate.go
+++ b/internal/mangolayout/replicastate.go
@@ -15,7 +15,7 @@
 	for _, r := range replicas {
 		i := r.Incarnation()
 		o, avoided := outages[i]
-		draining := r.Draining || (avoided && o.Cause == mangoreplica.CauseLeaving)
+		draining := r.Draining || (avoided && o.Cause.Planned())
 		if !draining && avoided && p.isLost(ctx, r, o.Cause, now) {
 			continue
 		}
@@ -28,7 +28,7 @@
 		}
 		requests, _ := p.health.InFlight(r.ID)
 		s := ReplicaState{
-			Replica: r, Layers: r.Layers, Movable: true, Requests: requests, Slowness: p.health.Slowness(i, now),
+			Replica: r, Layers: r.Layers, Movable: !p.health.Paused(i, now), Requests: requests, Slowness: p.health.Slowness(i, now),
 		}
 		if o, ok := p.pendingOrders[i]; ok {
 			switch {
--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -194,7 +194,7 @@
 	if entry := r.state.View().Fleet.ByID(replica.ID); entry != nil && entry.Draining {
 		return true
 	}
-	return r.health.Outages(time.Now())[replica.Incarnation()].Cause == mangoreplica.CauseLeaving
+	return r.health.Outages(time.Now())[replica.Incarnation()].Cause.Planned()
 }
 
 // reportCrash reports the fingerprints of the requests that were in flight on a replica when it crashed. Crashes of one
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -101,6 +101,7 @@
 	random           func() float64
 	closeConnections func() bool
 	rejectNew        func(stream bool) bool
+	handleNotice     NoticeHandler
 	inFlight         *inFlightIndex
 	// These limit the checks of single replicas, of whole chains and of health.
 	replicaChecks *checkLimiter
@@ -153,6 +154,7 @@
 	for _, o := range opts {
 		o(r)
 	}
+	r.handleNotice = NewNoticeHandler(health, r.peers, r.logger)
 	return r
 }
 
@@ -193,7 +195,7 @@
 		"event": "replica_avoided", "replica": replica.ID, "address": replica.Address, "cause": string(cause),
 		"hold_ms": hold.Milliseconds(), "request": requestID,
 	}).Warn("replica is avoided for a while")
-	if cause.LikelyDown() || cause == mangoreplica.CauseLeaving {
+	if cause.LikelyDown() || cause.Planned() {
 		r.peers.AnnounceOutage(mangoreplica.Outage{Replica: replica.Incarnation(), Cause: cause, At: now, Until: now.Add(hold)})
 	}
 }
--- a/internal/mangorelay/request.go
+++ b/internal/mangorelay/request.go
@@ -66,6 +66,8 @@
 	// the replica did not say.
 	Busy  int
 	Slots int
+	// Notice is what the replica says about itself.
+	Notice mangoreplica.Notice
 }
 
 // Codec translates requests and answers to and from the HTTP messages of upstreams.
--- a/internal/mangorelay/retry.go
+++ b/internal/mangorelay/retry.go
@@ -79,7 +79,7 @@
 			return false
 		}
 		if !ok {
-			return c.finishUndelivered(outcomeNoUpstream, retryAfterNoUpstream)
+			return c.finishUndelivered(outcomeNoUpstream, c.retryAfterNoTarget())
 		}
 		if c.sends == 0 && c.shouldShed(t) {
 			return c.finishUndelivered("Overloaded", c.shedRetryAfter())
@@ -190,8 +190,9 @@
 		if ok || !time.Now().Before(until) || ctx.Err() != nil {
 			return t, ok
 		}
-		if !c.started && len(c.failedReplicas)+len(c.refusingReplicas) > 0 {
-			// All usable replicas have just been tried for this request; waiting would only delay its refusal.
+		if !c.started && (len(c.failedReplicas)+len(c.refusingReplicas) > 0 || c.pauseLeft(time.Now()) > noTargetWait) {
+			// All usable replicas have just been tried for this request, or want no requests for longer than it would wait;
+			// waiting would only delay its refusal.
 			return t, false
 		}
 		sleep(ctx, step)
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -63,6 +63,7 @@
 	if answer.Slots > 0 {
 		c.relay.health.RecordLoad(t.first.ID, answer.Busy, answer.Slots, time.Now())
 	}
+	c.relay.handleNotice(t.first, answer.Notice, c.request.ID)
 	switch {
 	case answer.NotRun:
 		return c.handleRefusal(t, answer, time.Since(startedAt))
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -127,7 +127,7 @@
 	var best *mangoreplica.Replica
 	least := 0.0
 	for _, r := range replicas {
-		if r.Draining || c.isExcluded(r.ID) {
+		if r.Draining || c.isExcluded(r.ID) || c.relay.health.Leaving(r.Incarnation()) || c.relay.health.Paused(r.Incarnation(), now) {
 			continue
 		}
 		cost := c.relay.health.Utilisation(r.ID, r.Slots, now) + randomSpread*c.relay.random()
--- a/internal/mangoreplica/tracker.go
+++ b/internal/mangoreplica/tracker.go
@@ -23,8 +23,10 @@
 	// CauseMoved means that another replica answered at the address, or that the replica no longer holds the layers that it was
 	// asked for.
 	CauseMoved Cause = "Moved"
-	// CauseLeaving means that the replica reported that it takes no new requests.
+	// CauseLeaving means that the replica's health check said that it takes no new requests.
 	CauseLeaving Cause = "Leaving"
+	// CauseStopping means that the replica said in an answer that it is about to stop, which it does not take back.
+	CauseStopping Cause = "Stopping"
 	// CauseFaulty means that the replica answered with a failure or with an invalid answer.
 	CauseFaulty Cause = "Faulty"
 )
@@ -35,7 +37,10 @@
 }
 
 // CertainToFail reports whether a request through the replica is sure to fail while the cause holds.
-func (c Cause) CertainToFail() bool { return c == CauseEnded || c == CauseLeaving }
+func (c Cause) CertainToFail() bool { return c == CauseEnded || c.Planned() }
+
+// Planned reports whether the replica itself gave the cause, so that its end is no crash.
+func (c Cause) Planned() bool { return c == CauseLeaving || c == CauseStopping }
 
 // Outage is a period in which a replica is avoided, from At until Until.
 type Outage struct {
@@ -68,13 +73,16 @@
 	paces map[Incarnation]Pace
 	// fullUntil holds the time until which a replica counts as full, by its id.
 	fullUntil map[string]time.Time
+	// leavingSince holds the replicas that said that they are leaving, and pausedUntil those that want no requests for a time.
+	leavingSince map[Incarnation]time.Time
+	pausedUntil  map[Incarnation]time.Time
 }
 
 // NewHealthTracker returns a tracker without observations.
 func NewHealthTracker() *HealthTracker {
 	return &HealthTracker{
 		outages: map[Incarnation]Outage{}, refusals: map[Incarnation]int{}, failureRates: map[Incarnation]failureRate{}, loads: map[string]*load{}, fullUntil: map[string]time.Time{},
-		paces: map[Incarnation]Pace{},
+		paces: map[Incarnation]Pace{}, leavingSince: map[Incarnation]time.Time{}, pausedUntil: map[Incarnation]time.Time{},
 	}
 }
 
@@ -160,22 +168,23 @@
 	return ok && o.Until.After(now)
 }
 
-// Avoided reports whether a replica is to be avoided.
+// Avoided reports whether a replica is to be avoided, for an outage or because it asked for no requests.
 func (h *HealthTracker) Avoided(r Incarnation, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.outages[r].Until.After(now)
+	return h.outages[r].Until.After(now) || h.isLeaving(r) || h.pausedUntil[r].After(now)
 }
 
-// CertainToFail reports whether a replica is to be avoided for a cause with which every request through it fails.
+// CertainToFail reports whether a replica must not get any request: it is leaving, wants none for a time, or is avoided for a
+// cause with which every request through it fails.
 func (h *HealthTracker) CertainToFail(r Incarnation, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	o := h.outages[r]
-	return o.Until.After(now) && o.Cause.CertainToFail()
+	return (o.Until.After(now) && o.Cause.CertainToFail()) || h.isLeaving(r) || h.pausedUntil[r].After(now)
 }
 
-// Outages returns the outages in force and removes the others.
+// Outages returns the outages in force, with one for each leaving replica, and removes the others.
 func (h *HealthTracker) Outages(now time.Time) map[Incarnation]Outage {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -187,6 +196,9 @@
 		}
 		current[r] = o
 	}
+	for r, since := range h.leavingSince {
+		current[r] = Outage{Replica: r, Cause: CauseStopping, At: since, Until: now.Add(leavingMemory)}
+	}
 	return current
 }
 
@@ -264,6 +276,7 @@
 func (h *HealthTracker) Prune(fleet *Fleet) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.pruneNotices(fleet, time.Now())
 	for id, l := range h.loads {
 		if l.requests <= 0 && fleet.ByID(id) == nil {
 			delete(h.loads, id)
