Bound the bytes and the time of every answer

Cause: heads were read from an unbounded reader, so a replica that sent one header line without end took memory until the request's deadline, and a byte now and then renewed each wait, also for heads, trailers, bodies and events. The last attempt of a stream was cut after 2.4 s of silence whatever its route's targets are.

Change: a head with its informational answers has at most 64 KiB. A wait ends by the time without progress, which is the whole head, a whole event or 4 KiB of another body, never a single byte or a comment. An event has at most 256 KiB. Answers above 256 KiB are passed on while they arrive and broken off at 64 MiB, instead of being kept whole up to 16 MiB. The last attempt waits as long as the caller, max(2 s, 4 targets, 8 gap targets) + 0.5 s.

--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -22,8 +22,13 @@
 	tcpUserTimeout = 2 * time.Second
 	// writeTimeout bounds the time for writing a request.
 	writeTimeout = 2 * time.Second
+	// maxHeadBytes bounds the head of an answer together with the informational answers before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLarge means that an upstream sent maxHeadBytes without completing the head of its answer.
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Dialer opens a connection to an upstream for each request. It is safe for concurrent use.
 type Dialer struct {
 	dialer net.Dialer
@@ -63,8 +68,9 @@
 	_ = r.conn.Close()
 }
 
-// Exchange sends a request and reads the head of the answer. All errors are of type *Error. The end of the context closes
-// the connection, also while the body is read. Each wait for bytes, also those of the body, is bounded by waiter.
+// Exchange sends a request and reads the head of the answer, of which it takes at most maxHeadBytes. All errors are of type
+// *Error. The end of the context closes the connection, also while the body is read. The time without progress, also while
+// the body is read, is bounded by waiter; the whole head counts as progress, a part of it does not.
 func (d *Dialer) Exchange(
 	ctx context.Context, address string, request *http.Request, connectTimeout time.Duration, waiter *ReadWaiter,
 ) (*Response, error) {
@@ -72,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	waiter.Progress()
 	waiting := &waitingConn{Conn: conn, waiter: waiter}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	response, err := writeAndReadHead(waiting, request) //nolint:bodyclose // Close ends the connection, which is all that the body has.
@@ -94,22 +101,51 @@
 	}
 	// An upstream may answer before it has read the whole request, so a failed write does not end the exchange.
 	_, writeErr := conn.Write(out.Bytes())
-	reader := bufio.NewReaderSize(conn, readBufferSize)
+	response, err := readHead(conn, request)
+	if err != nil && writeErr != nil {
+		return nil, writeErr
+	}
+	return response, err
+}
+
+// readHead reads the head of the final answer.
+func readHead(conn *waitingConn, request *http.Request) (*http.Response, error) {
+	head := &headReader{conn: conn, left: maxHeadBytes}
+	reader := bufio.NewReaderSize(head, readBufferSize)
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			if writeErr != nil {
-				return nil, writeErr
-			}
 			return nil, err
 		}
 		// Informational answers (1xx) precede the final one.
 		if response.StatusCode >= http.StatusOK {
+			head.complete = true
+			conn.waiter.Progress()
 			return response, nil
 		}
 	}
 }
 
+// headReader bounds the bytes that are read from a connection until the head of an answer is complete.
+type headReader struct {
+	conn     io.Reader
+	left     int
+	complete bool
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.complete {
+		return r.conn.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // classifyError returns an *Error for a request that may have been sent, with the kind of failure that err shows.
 func classifyError(ctx context.Context, err error) error {
 	var netErr net.Error
--- a/internal/mangoconn/waiter.go
+++ b/internal/mangoconn/waiter.go
@@ -9,10 +9,12 @@
 	"github.com/pkg/errors"
 )
 
-// WaitPolicy returns how much longer to wait for bytes after a time without any; 0 or less means to give up.
+// WaitPolicy returns how much longer to wait after a time without progress; 0 or less means to give up.
 type WaitPolicy func(silent time.Duration) time.Duration
 
-// ReadWaiter bounds each wait for bytes of one exchange by a policy. Wake is safe for concurrent use.
+// ReadWaiter bounds the time without progress of one exchange by a policy. What progress is, the reader of the answer says by
+// calling Progress: single bytes are none, so that an upstream that sends one now and then does not keep an exchange alive.
+// Wake is safe for concurrent use.
 type ReadWaiter struct {
 	policy WaitPolicy
 
@@ -21,10 +23,28 @@
 	conn net.Conn
 	// woken says that Wake was called since the policy was last asked.
 	woken bool
+	// progressAt is the time of the last progress.
+	progressAt time.Time
 }
 
 // NewReadWaiter returns a waiter with a policy.
-func NewReadWaiter(policy WaitPolicy) *ReadWaiter { return &ReadWaiter{policy: policy} }
+func NewReadWaiter(policy WaitPolicy) *ReadWaiter {
+	return &ReadWaiter{policy: policy, progressAt: time.Now()}
+}
+
+// Progress records that a part of the answer has arrived for which the exchange was worth waiting.
+func (w *ReadWaiter) Progress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progressAt = time.Now()
+}
+
+// silence returns the time since the last progress.
+func (w *ReadWaiter) silence() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.progressAt)
+}
 
 // Wake makes an exchange that waits for bytes ask its policy again. It never blocks.
 func (w *ReadWaiter) Wake() {
@@ -64,10 +84,8 @@
 
 // Read implements net.Conn.
 func (c *waitingConn) Read(p []byte) (int, error) {
-	began := time.Now()
-	silent := time.Duration(0)
 	for {
-		ok, err := c.waiter.setReadDeadline(c.Conn, silent)
+		ok, err := c.waiter.setReadDeadline(c.Conn, c.waiter.silence())
 		if err != nil {
 			return 0, err
 		}
@@ -78,6 +96,5 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		silent = time.Since(began)
 	}
 }
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -18,6 +18,9 @@
 // time.
 const answerMargin = 20 * time.Millisecond
 
+// defaultTimeout bounds a request for which neither the caller nor the route sets a time.
+const defaultTimeout = 10 * time.Minute
+
 // Values of the Retry-After header of refusals.
 const (
 	// retryAfterNoConfiguration is for a daemon that has no configuration yet; the store answers within one or two
@@ -47,7 +50,7 @@
 	serviceName string
 	customer    mangoroute.Customer
 	fingerprint string
-	// deadline is when the final answer is due; zero if neither the caller nor the route sets a limit.
+	// deadline is when the final answer is due.
 	deadline time.Time
 
 	// failedReplicas has the ids of replicas that failed this request, and refusingReplicas those that refused to run it,
@@ -106,15 +109,11 @@
 	if !c.admit() {
 		return true
 	}
-	if !c.deadline.IsZero() {
-		// Two seconds beyond the deadline let a write that has begun finish.
-		_ = c.control.SetWriteDeadline(c.deadline.Add(2 * time.Second))
-		deadlineCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(-answerMargin))
-		defer cancel()
-		return c.sendUntilDone(ctx, deadlineCtx)
-	}
-	_ = c.control.SetWriteDeadline(time.Time{})
-	return c.sendUntilDone(ctx, ctx)
+	// Two seconds beyond the deadline let a write that has begun finish.
+	_ = c.control.SetWriteDeadline(c.deadline.Add(2 * time.Second))
+	deadlineCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(-answerMargin))
+	defer cancel()
+	return c.sendUntilDone(ctx, deadlineCtx)
 }
 
 // admit finds the route and the customer of the request and picks its service. If the request is not allowed, it writes a
@@ -160,14 +159,15 @@
 	return c.relay.crashes.Check(c.fingerprint, now) == mangocrash.Blocked || c.relay.crashes.Held(c.fingerprint, now)
 }
 
-// computeDeadline returns the earlier of the caller's and the route's deadline; zero means none.
+// computeDeadline returns the earlier of the caller's and the route's deadline, or defaultTimeout from the arrival if neither
+// sets one.
 func (c *call) computeDeadline() time.Time {
 	timeout := c.request.CallerTimeout
 	if c.route.Timeout > 0 && (timeout <= 0 || c.route.Timeout < timeout) {
 		timeout = c.route.Timeout
 	}
 	if timeout <= 0 {
-		return time.Time{}
+		timeout = defaultTimeout
 	}
 	return c.request.ArrivedAt.Add(timeout)
 }
--- a/internal/mangorelay/events.go
+++ b/internal/mangorelay/events.go
@@ -14,8 +14,16 @@
 	hasLastID bool
 	// hasGap says that the id of a returned event was not the one after the last id.
 	hasGap bool
+	// count is the number of events returned. Comments, which keep a connection alive, are none.
+	count int
 }
 
+// maxEventBytes bounds an event; a longer one is no event of a sound replica.
+const maxEventBytes = 256 << 10
+
+// oversized reports whether the event that is being collected is too long.
+func (b *eventBuffer) oversized() bool { return len(b.pending) > maxEventBytes }
+
 // add appends bytes and returns the whole events collected so far; they are valid until the next call.
 func (b *eventBuffer) add(data []byte) []byte {
 	b.pending = append(b.pending, data...)
@@ -42,9 +50,12 @@
 	return end
 }
 
-// trackIDs updates lastID and hasGap from the ids of events.
+// trackIDs updates lastID, hasGap and count from the lines of events.
 func (b *eventBuffer) trackIDs(events []byte) {
 	for line := range bytes.Lines(events) {
+		if bytes.HasPrefix(line, []byte("data:")) {
+			b.count++
+		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
--- a/internal/mangorelay/retry.go
+++ b/internal/mangorelay/retry.go
@@ -202,8 +202,11 @@
 }
 
 // callerGivesUpAt returns the time until which a started stream without further events tries to resume.
-func (c *call) callerGivesUpAt() time.Time {
-	return c.lastEventAt.Add(max(silenceToleranceMin, silenceToleranceTargets*c.route.LatencyTarget, silenceToleranceGaps*c.route.GapTarget) + silenceToleranceSlack)
+func (c *call) callerGivesUpAt() time.Time { return c.lastEventAt.Add(c.silenceTolerance()) }
+
+// silenceTolerance returns the time without events after which the caller of a stream has left.
+func (c *call) silenceTolerance() time.Duration {
+	return max(silenceToleranceMin, silenceToleranceTargets*c.route.LatencyTarget, silenceToleranceGaps*c.route.GapTarget) + silenceToleranceSlack
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -77,9 +77,9 @@
 	c.mayHaveRunOn[t.first.ID] = true
 	c.relay.clearOutage(t.first, c.request.ID)
 	if c.route.Kind == mangoroute.Stream && isSuccess(answer.Status) {
-		return c.streamAnswer(callerCtx, deadlineCtx, t, answer, response)
+		return c.streamAnswer(callerCtx, deadlineCtx, t, answer, response, wait)
 	}
-	return c.bufferAnswer(callerCtx, deadlineCtx, t, answer, response)
+	return c.bufferAnswer(callerCtx, deadlineCtx, t, answer, response, wait)
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
@@ -100,9 +100,7 @@
 		// A caller that has a part of its answer is served before those that have none.
 		u.Priority = 0
 	}
-	if !c.deadline.IsZero() {
-		u.TimeLeft = max(time.Until(c.deadline), time.Millisecond)
-	}
+	u.TimeLeft = max(time.Until(c.deadline), time.Millisecond)
 	return u
 }
 
--- a/internal/mangorelay/silence.go
+++ b/internal/mangorelay/silence.go
@@ -25,8 +25,6 @@
 	// replicas every gap is long, and another chain would be no better.
 	gapSoftMeanGaps = 3
 	gapHardMeanGaps = 8
-	// lastAttemptHard is the hard limit when no other chain may be tried; callers leave a stream after 2 s of silence.
-	lastAttemptHard = 2400 * time.Millisecond
 	// stallCheckAfter is the silence after which the first replica is asked for its stalled requests; its report is about
 	// 200 ms old.
 	stallCheckAfter = 300 * time.Millisecond
@@ -84,13 +82,14 @@
 		hard = max(plainHardMin, plainHardTargets*c.route.LatencyTarget)
 		return hard, hard
 	case !another:
-		return firstEventSoft, lastAttemptHard
+		// Nobody else can go on with the request, so it is not given up before its caller does.
+		return firstEventSoft, c.silenceTolerance()
 	case c.started:
 		return max(gapSoft, gapSoftMeanGaps*c.meanGap), max(gapHard, 2*c.route.GapTarget, gapHardMeanGaps*c.meanGap)
 	default:
 		// A request that is given up in a queue only joins the end of that queue or another one.
 		queue := firstEventHardWaits * c.relay.delays.Estimate(c.serviceName, l.target.dataCentre, time.Now())
-		return firstEventSoft, min(max(firstEventHard, queue), lastAttemptHard)
+		return firstEventSoft, min(max(firstEventHard, queue), c.silenceTolerance())
 	}
 }
 
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -1,7 +1,9 @@
 package mangorelay
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -9,8 +11,12 @@
 	"time"
 
 	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangoreplica"
 )
 
+// errEventTooLarge means that an upstream sent maxEventBytes without the end of an event.
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
 const (
 	// streamReadSize is the size of a read in bytes; events that arrive together should fit.
 	streamReadSize = 4 << 10
@@ -20,19 +26,32 @@
 	// route's targets, from which the replicas are asked how slow they are. Under normal load both are below a fifth.
 	slowGapShare        = 0.4
 	slowFirstEventShare = 0.3
-	// maxBufferedAnswer is the largest answer in bytes that is read as a whole before it is passed on.
-	maxBufferedAnswer = 16 << 20
+	// maxBufferedAnswer is the largest answer in bytes that is read as a whole before it is passed on, so that another one
+	// can replace it if it breaks off. The rest of a larger one is passed on as it arrives.
+	maxBufferedAnswer = 256 << 10
+	// maxAnswer is the largest answer in bytes that is passed on; a longer one is broken off.
+	maxAnswer = 64 << 20
+	// answerBlock is the number of bytes of an answer other than a stream that count as progress. An upstream that sends
+	// less in the time without progress has stalled.
+	answerBlock = 4 << 10
 )
 
 // streamAnswer passes events on as they arrive. The head of the answer is written with the first event, so that until
 // then the request can be sent to another upstream without the caller noticing.
-func (c *call) streamAnswer(callerCtx, deadlineCtx context.Context, t target, a AnswerHead, response *mangoconn.Response) sendResult {
+func (c *call) streamAnswer(callerCtx, deadlineCtx context.Context, t target, a AnswerHead, response *mangoconn.Response, wait *mangoconn.ReadWaiter) sendResult {
 	c.events.pending = nil
 	data := make([]byte, streamReadSize)
 	for {
 		n, err := response.Body.Read(data)
 		if n > 0 {
+			before := c.events.count
 			whole := c.events.add(data[:n])
+			if c.events.count > before {
+				wait.Progress()
+			}
+			if c.events.oversized() {
+				return c.lostOrCut(c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindInvalid, errEventTooLarge))
+			}
 			if c.events.hasGap {
 				// The caller must not get events with a gap between their ids in one answer.
 				return c.lostOrCut(resultLost)
@@ -134,12 +153,16 @@
 }
 
 // bufferAnswer reads an answer as a whole and then passes it on. An answer with a status of 500 or above is kept in
-// failedAnswer instead if the request may be repeated.
-func (c *call) bufferAnswer(callerCtx, deadlineCtx context.Context, t target, a AnswerHead, response *mangoconn.Response) sendResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer+1))
-	if err != nil || len(body) > maxBufferedAnswer {
+// failedAnswer instead if the request may be repeated. An answer above maxBufferedAnswer is passed on while it arrives.
+func (c *call) bufferAnswer(callerCtx, deadlineCtx context.Context, t target, a AnswerHead, response *mangoconn.Response, wait *mangoconn.ReadWaiter) sendResult {
+	source := &blockReader{reader: response.Body, wait: wait}
+	body, err := io.ReadAll(io.LimitReader(source, maxBufferedAnswer+1))
+	if err != nil {
 		return c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindOf(deadlineCtx, err), err)
 	}
+	if len(body) > maxBufferedAnswer {
+		return c.passOn(callerCtx, deadlineCtx, t, a, body, response.ContentLength, source)
+	}
 	b := &bufferedAnswer{head: a, body: body}
 	c.relay.health.RecordResult(t.first.Incarnation(), a.Status >= http.StatusInternalServerError, time.Now())
 	if a.Status >= http.StatusInternalServerError && c.route.Repeatable() {
@@ -167,3 +190,50 @@
 	// The write fails if the caller has left; there is nobody to tell.
 	_, _ = c.writer.Write(b.body)
 }
+
+// blockReader reads the body of an answer and records progress with each answerBlock of it.
+type blockReader struct {
+	reader io.Reader
+	wait   *mangoconn.ReadWaiter
+	// sinceProgress is the number of bytes since the last progress.
+	sinceProgress int
+}
+
+// Read implements io.Reader.
+func (r *blockReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if r.sinceProgress += n; r.sinceProgress >= answerBlock {
+		r.sinceProgress = 0
+		r.wait.Progress()
+	}
+	return n, err
+}
+
+// passOn passes on a large answer, of which the first bytes have been read, while the rest arrives. length is negative if it
+// is not known. If the answer breaks off or exceeds maxAnswer, the caller's connection is closed before its end.
+func (c *call) passOn(
+	callerCtx, deadlineCtx context.Context, t target, a AnswerHead, begin []byte, length int64, rest io.Reader,
+) sendResult {
+	c.writeHead(a, int(max(length, -1)))
+	answer := io.MultiReader(bytes.NewReader(begin), rest)
+	data := make([]byte, len(begin))
+	for passed := 0; passed <= maxAnswer; {
+		n, err := answer.Read(data)
+		if n > 0 {
+			passed += n
+			if _, writeErr := c.writer.Write(data[:n]); writeErr != nil {
+				return resultCallerGone
+			}
+		}
+		if err == io.EOF {
+			c.relay.health.RecordResult(t.first.Incarnation(), a.Status >= http.StatusInternalServerError, time.Now())
+			return resultDelivered
+		}
+		if err != nil {
+			_ = c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindOf(deadlineCtx, err), err)
+			return resultCut
+		}
+	}
+	c.relay.avoid(t.first, mangoreplica.CauseFaulty, holdFaulty, c.request.ID)
+	return resultCut
+}
