--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -257,17 +257,19 @@
 		br.onRevision(request.GetRevision())
 	}
 	for _, r := range request.GetSightings() {
-		br.onLayers(mangoreplica.LayerReport{
-			Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()},
-			Layers:  mangoreplica.LayerRange{From: int(r.GetFromLayer()), To: int(r.GetToLayer())},
-		})
+		layers := mangoreplica.LayerRange{From: int(r.GetFromLayer()), To: int(r.GetToLayer())}
+		if layers.Valid() {
+			br.onLayers(mangoreplica.LayerReport{Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()}, Layers: layers})
+		}
 	}
 	for _, o := range request.GetGivenOrders() {
-		br.onOrder(mangolayout.GivenOrder{
-			Replica: mangoreplica.Incarnation{ID: o.GetReplica(), Born: o.GetBorn()},
-			Layers:  mangoreplica.LayerRange{From: int(o.GetFromLayer()), To: int(o.GetToLayer())},
-			Until:   now.Add(time.Duration(o.GetLeftMs()) * time.Millisecond),
-		})
+		layers := mangoreplica.LayerRange{From: int(o.GetFromLayer()), To: int(o.GetToLayer())}
+		if layers.Valid() {
+			br.onOrder(mangolayout.GivenOrder{
+				Replica: mangoreplica.Incarnation{ID: o.GetReplica(), Born: o.GetBorn()}, Layers: layers,
+				Until: now.Add(time.Duration(o.GetLeftMs()) * time.Millisecond),
+			})
+		}
 	}
 	for _, p := range request.GetPaces() {
 		br.onPace(mangoreplica.Pace{
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -205,7 +205,7 @@
 			o, ok := outages[i]
 			return ok && o.Cause.LikelyDown() && !o.Cause.CertainToFail()
 		}, now, p.logger)
-		states, loading := p.replicaStates(ctx, replicas, outages, now)
+		states, loading := p.replicaStates(ctx, s.Engine, replicas, outages, now)
 		if !p.readyToPlan(name, states, now) {
 			continue
 		}
--- a/internal/mangolayout/replicastate.go
+++ b/internal/mangolayout/replicastate.go
@@ -5,11 +5,15 @@
 	"time"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangoroute"
 )
 
-// replicaStates returns the states of the replicas that a plan may use, and the number of pending orders. Lost replicas and
-// those in partitioned data centres are left out.
-func (p *Placer) replicaStates(ctx context.Context, replicas []*mangoreplica.Replica, outages map[mangoreplica.Incarnation]mangoreplica.Outage, now time.Time) ([]ReplicaState, int) {
+// replicaStates returns the states of the replicas that a plan may use, and the number of pending orders. Lost replicas, those
+// in partitioned data centres and those that claim layers beyond the model are left out.
+func (p *Placer) replicaStates(
+	ctx context.Context, engine *mangoroute.Engine, replicas []*mangoreplica.Replica,
+	outages map[mangoreplica.Incarnation]mangoreplica.Outage, now time.Time,
+) ([]ReplicaState, int) {
 	var states []ReplicaState
 	loading := 0
 	for _, r := range replicas {
@@ -19,7 +23,7 @@
 		if !draining && avoided && p.isLost(ctx, r, o.Cause, now) {
 			continue
 		}
-		if !p.partitions.canPlan(r.DataCentre, now) {
+		if !p.partitions.canPlan(r.DataCentre, now) || r.Layers.To > engine.Layers {
 			continue
 		}
 		if draining {
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -105,7 +105,7 @@
 	var sets []*candidateSet
 	byDataCentre := map[string]*candidateSet{}
 	for _, r := range view.Replicas {
-		if r.Draining || r.Layers.Len() == 0 || (request.Exclude != nil && request.Exclude(r.ID)) {
+		if r.Draining || r.Layers.Len() == 0 || r.Layers.To > view.Engine.Layers || (request.Exclude != nil && request.Exclude(r.ID)) {
 			continue
 		}
 		costFactor := 1.0
--- a/internal/mangoreplica/pace.go
+++ b/internal/mangoreplica/pace.go
@@ -1,6 +1,9 @@
 package mangoreplica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// SlowThreshold is the slowness from which a replica counts as slow: its queue grows while the other replicas have
@@ -8,6 +11,8 @@
 	SlowThreshold = 2.5
 	// maxPaceAge is the time for which the reported pace of a replica counts. Daemons ask slow replicas again within it.
 	maxPaceAge = 3 * time.Second
+	// maxSlowness bounds the slowness that a replica can report, so that costs stay finite.
+	maxSlowness = 1000
 )
 
 // Pace is the speed at which a replica reported to run.
@@ -27,6 +32,10 @@
 	if known && old.At.After(p.At) {
 		return false
 	}
+	if math.IsNaN(p.Slowness) {
+		return false
+	}
+	p.Slowness = min(p.Slowness, maxSlowness)
 	h.paces[p.Replica] = p
 	return isSlow(old.slownessAt(p.At)) != isSlow(p.Slowness)
 }
--- a/internal/mangoreplica/replica.go
+++ b/internal/mangoreplica/replica.go
@@ -5,6 +5,12 @@
 	From, To int
 }
 
+// MaxLayer bounds the layers that an entry, a report or a message can name; a model has some hundred.
+const MaxLayer = 1 << 14
+
+// Valid reports whether the range can be one of layers.
+func (r LayerRange) Valid() bool { return 0 <= r.From && r.From <= r.To && r.To <= MaxLayer }
+
 // Len returns the number of layers.
 func (r LayerRange) Len() int { return max(0, r.To-r.From) }
 
--- a/internal/mangostate/feed.go
+++ b/internal/mangostate/feed.go
@@ -17,8 +17,8 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []Change, revision uint64, err error)
 }
 
-// Change is one change of the store: a configuration, a replica's entry, a key of the daemons, or an unreadable item. Only
-// the fields of one of these are set.
+// Change is one change of the store: a configuration, a replica's entry, a key of the daemons, or an unreadable item. Apart
+// from Key, only the fields of one of these are set.
 type Change struct {
 	// Table is a new configuration.
 	Table *mangoroute.Table
@@ -26,7 +26,8 @@
 	Replica *mangoreplica.Replica
 	// RemovedReplica is the id of a replica whose entry was deleted or cannot be read.
 	RemovedReplica string
-	// Key and Value are a key that daemons write, such as a lease, and its value; an empty value means that it was deleted.
+	// Key is the key of the item. Value is that of a key that daemons write, such as a lease; an empty value means that it was
+	// deleted.
 	Key   string
 	Value string
 	// Revision is the store's revision of the item of Key.
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -23,6 +23,8 @@
 	// missing has the replicas that are kept although their entries were removed, since the store was unreachable then or
 	// shortly before.
 	missing map[string]bool
+	// invalid has the keys of items that cannot be read, each of which is logged once.
+	invalid map[string]bool
 	keys    map[string]string
 	// fence is the highest revision seen of PlacementKey, whose holder may be gone.
 	fence  uint64
@@ -51,7 +53,7 @@
 
 func newState(logger logrus.FieldLogger, recoveryGrace time.Duration) state {
 	return state{
-		logger: logger, recoveryGrace: recoveryGrace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{},
+		logger: logger, recoveryGrace: recoveryGrace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{}, invalid: map[string]bool{},
 		layerOverrides: map[string]layerOverride{}, moving: map[string]time.Time{},
 		keys: map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
 	}
@@ -90,11 +92,11 @@
 	for _, c := range a.changes {
 		switch {
 		case c.DecodeErr != nil:
-			s.logger.WithFields(logrus.Fields{"event": "item_invalid", "key": c.Key, "revision": a.revision}).
-				WithError(c.DecodeErr).Warn("an item of the store cannot be read")
+			s.logInvalid(c, a.revision)
 		case c.Table != nil:
 			changed = s.updateTable(c.Table, now) || changed
 		case c.Replica != nil:
+			delete(s.invalid, c.Key)
 			replicas = s.updateReplica(c.Replica) || replicas
 		case c.RemovedReplica != "":
 			replicas = s.removeReplica(c.RemovedReplica, now) || replicas
@@ -105,6 +107,16 @@
 	return s.rebuildFleet(replicas) || changed
 }
 
+// logInvalid logs that an item cannot be read, unless that is known.
+func (s *state) logInvalid(c Change, revision uint64) {
+	if s.invalid[c.Key] {
+		return
+	}
+	s.invalid[c.Key] = true
+	s.logger.WithFields(logrus.Fields{"event": "item_invalid", "key": c.Key, "revision": revision}).
+		WithError(c.DecodeErr).Warn("an item of the store cannot be read")
+}
+
 // rebuildFleet makes the fleet from the entries and the layer overrides if changed is set; it returns changed.
 func (s *state) rebuildFleet(changed bool) bool {
 	if !changed {
@@ -136,7 +148,7 @@
 		switch {
 		case c.Replica != nil:
 			present[c.Replica.ID] = true
-		case c.Key != "":
+		case c.RemovedReplica == "" && c.Key != "":
 			keys[c.Key] = true
 		}
 	}
