Read the head again when a compaction deletes a page of it

Poll read the head once more in this case, Propose did not.

Change: Poll and Propose share loadCurrentBook, which goes on with a later head as long as there is one; a head that is still current and lacks a page is corrupt as before.

--- a/internal/mangochange/log_test.go
+++ b/internal/mangochange/log_test.go
@@ -239,6 +239,36 @@
 	is.Equal(store.CallCount("Get")-before, 1)
 }
 
+// Guards against a proposal that fails as if the log were corrupt because compactions of other writers delete a page between
+// its reads of the head and of that page.
+func TestProposalDuringCompactions(t *testing.T) {
+	for compactions := 1; compactions <= 3; compactions++ {
+		t.Run(fmt.Sprint(compactions), func(t *testing.T) {
+			is := is.New(t)
+			store := mangostorefake.New()
+			other := mangochange.New(store)
+			propose(t, other, "a")
+			is.NoErr(other.Compact(t.Context()))
+			done := false
+			store.SetBeforeCall(func(op, key string) {
+				if op != "Get" || !strings.Contains(key, "/Page/") || done {
+					return
+				}
+				done = true
+				for i := range compactions {
+					// Each change of the only entry replaces its page.
+					_, err := other.Propose(t.Context(), customer(uint64(i+1), "a", fmt.Sprint("b", i)))
+					is.NoErr(err)
+					is.NoErr(other.Compact(t.Context()))
+				}
+			})
+			revision, err := mangochange.New(store).Propose(t.Context(), customer(0, "z", "z"))
+			is.NoErr(err)
+			is.Equal(revision, uint64(compactions+2))
+		})
+	}
+}
+
 // Guards against changes that are lost, accepted twice or at the wrong revision with concurrent writers.
 func TestConcurrentWriters(t *testing.T) {
 	is := is.New(t)
--- a/internal/mangochange/poll.go
+++ b/internal/mangochange/poll.go
@@ -22,13 +22,7 @@
 	if err != nil || !isNew {
 		return book, err
 	}
-	next, err := l.loadBook(ctx, "Poll", book, s)
-	if kindOf(err) == KindCorrupt {
-		// Compactions after the head was read may have deleted one of its pages, so read the head once more.
-		if s, err = l.readHead(ctx, "Poll"); err == nil {
-			next, err = l.loadBook(ctx, "Poll", book, s)
-		}
-	}
+	s, next, err := l.loadCurrentBook(ctx, "Poll", book, s)
 	if err != nil {
 		return book, err
 	}
@@ -66,7 +60,7 @@
 	if err != nil {
 		return s, nil, err
 	}
-	book, err := l.loadBook(ctx, "Propose", l.latestBook(), s)
+	s, book, err := l.loadCurrentBook(ctx, "Propose", l.latestBook(), s)
 	if err != nil {
 		return s, nil, err
 	}
@@ -74,6 +68,22 @@
 	return s, book, nil
 }
 
+// loadCurrentBook is loadBook with a later head in place of one whose pages were deleted by a compaction since it was read.
+// It returns that head. A head that is still current and lacks a page is corrupt.
+func (l *Log) loadCurrentBook(ctx context.Context, op string, book *mangoprofile.Book, s headSnapshot) (headSnapshot, *mangoprofile.Book, error) {
+	for {
+		next, err := l.loadBook(ctx, op, book, s)
+		if kindOf(err) != KindCorrupt {
+			return s, next, err
+		}
+		later, headErr := l.readHead(ctx, op)
+		if headErr != nil || later.version == s.version {
+			return s, nil, err
+		}
+		s = later
+	}
+}
+
 // loadBook returns the book at the revision of the head. It starts from an older book and fetches only the pages that
 // changed since. The error is KindStoreBehind when the head is older than the book.
 func (l *Log) loadBook(ctx context.Context, op string, book *mangoprofile.Book, s headSnapshot) (*mangoprofile.Book, error) {
