--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -1,7 +1,9 @@
 package mangobroadcast
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +11,6 @@
 
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangolayout"
-	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -24,9 +25,11 @@
 	// maxPeerHold bounds the time for which a replica is avoided because a peer reported it. The peer may know less about the
 	// replica than this daemon.
 	maxPeerHold = 1500 * time.Millisecond
-	// senderLifetime is the time for which a daemon that sent a message remains a peer although it has no entry in the store.
-	// The store may refuse its calls for as long as that.
+	// senderLifetime is the time for which a hub that sent a message remains a peer although it has no seat in the store. The
+	// store may refuse its calls for as long as that.
 	senderLifetime = 15 * time.Second
+	// unfollowedPeers is the number of hubs to which a daemon sends its announcements while it follows none.
+	unfollowedPeers = 2
 	// retryInterval is the time after which peers that did not answer are sent messages again.
 	retryInterval = time.Second
 )
@@ -41,6 +44,22 @@
 	View() *mangostate.View
 }
 
+// Topology tells to whom this daemon sends its announcements.
+type Topology interface {
+	// IsHub reports whether this daemon sends on what its followers announce.
+	IsHub() bool
+	// Hub returns the daemon that this one follows; ok is false if there is none.
+	Hub() (hub mangostate.Member, ok bool)
+}
+
+// Publisher sends news to the followers of this daemon. Its methods never block.
+type Publisher interface {
+	// Publish sends news to all followers but the one that sent them.
+	Publish(from string, news *mangomessage.ExchangeRequest)
+	// Wake sends new suspicions of the crash tracker.
+	Wake()
+}
+
 // Claim is a daemon's statement that it places layers while no daemon reaches the store.
 type Claim struct {
 	// Fence is the fencing number of the daemon's orders.
@@ -49,8 +68,9 @@
 	Holder bool
 }
 
-// Broadcaster sends announcements to all other daemons and receives theirs. Its methods are safe for concurrent use, apart
-// from the On methods.
+// Broadcaster sends announcements to all other daemons and receives theirs. A daemon sends its announcements to its hub; a hub
+// sends them on to its followers and to all other hubs, which send them to their followers. Its methods are safe for
+// concurrent use, apart from the On methods.
 type Broadcaster struct {
 	self       mangostate.Member
 	client     Exchanger
@@ -65,24 +85,27 @@
 	onClaim    func(from string, c Claim)
 	onOrder    func(o mangolayout.GivenOrder)
 	onPace     func(p mangoreplica.Pace, from string)
+	onLoads    func(from string, l LoadReport)
+	topology   Topology
+	followers  Publisher
 
 	mu     sync.Mutex
 	queued batch
+	// queuedForFollowers is what other hubs sent for the followers of this one.
+	queuedForFollowers batch
 	// peerQueues holds what is to be sent to each peer, by its name.
 	peerQueues map[string]*peerQueue
-	// recentSenders holds the daemons that sent messages, by name.
+	// recentSenders holds the hubs that sent messages, by name.
 	recentSenders map[string]recentSender
 	sendLoops     sync.WaitGroup
 }
 
-// recentSender is a daemon that sent a message, with the time of the last one.
+// recentSender is a hub that sent a message, with the time of the last one.
 type recentSender struct {
 	member mangostate.Member
 	at     time.Time
 }
 
-var _ mangopeer.Handler = (*Broadcaster)(nil)
-
 // Option configures a Broadcaster.
 type Option func(*Broadcaster)
 
@@ -111,12 +134,21 @@
 // the function must not block.
 func (br *Broadcaster) OnPace(onPace func(p mangoreplica.Pace, from string)) { br.onPace = onPace }
 
+// OnLoads sets the function that receives the loads that followers and other hubs put on replicas. It must be called before
+// Run, and the function must not block.
+func (br *Broadcaster) OnLoads(onLoads func(from string, l LoadReport)) { br.onLoads = onLoads }
+
+// OnPublish sets what sends news to the followers of this daemon. It must be called before Run.
+func (br *Broadcaster) OnPublish(p Publisher) { br.followers = p }
+
 // New returns a Broadcaster for the daemon self.
 func New(
-	self mangostate.Member, client Exchanger, state State, health *mangoreplica.HealthTracker, crashes *mangocrash.CrashTracker, opts ...Option,
+	self mangostate.Member, client Exchanger, state State, topology Topology, health *mangoreplica.HealthTracker, crashes *mangocrash.CrashTracker,
+	opts ...Option,
 ) *Broadcaster {
 	br := &Broadcaster{
-		self: self, client: client, state: state, health: health, crashes: crashes, logger: logrus.StandardLogger(),
+		self: self, client: client, state: state, topology: topology, health: health, crashes: crashes, logger: logrus.StandardLogger(),
+		followers: noFollowers{}, onLoads: func(string, LoadReport) {},
 		wake: make(chan struct{}, 1), peerQueues: map[string]*peerQueue{}, recentSenders: map[string]recentSender{}, onRevision: func(uint64) {},
 		onLayers: func(mangoreplica.LayerReport) {}, onOutage: func(*mangoreplica.Replica) {}, onClaim: func(string, Claim) {}, onOrder: func(mangolayout.GivenOrder) {},
 		onPace: func(mangoreplica.Pace, string) {},
@@ -150,6 +182,9 @@
 	br.enqueue(batch{paces: []mangoreplica.Pace{p}})
 }
 
+// AnnounceLoads queues the load that this daemon, or as a hub its group, puts on replicas. It never blocks.
+func (br *Broadcaster) AnnounceLoads(l LoadReport) { br.enqueue(batch{loads: &l}) }
+
 // AnnounceClaim queues a claim of this daemon for the other daemons. It never blocks.
 func (br *Broadcaster) AnnounceClaim(c Claim) { br.enqueue(batch{claim: &c}) }
 
@@ -161,6 +196,14 @@
 	br.ReportCrash()
 }
 
+// enqueueForFollowers adds to what the next round sends to the followers of this daemon only.
+func (br *Broadcaster) enqueueForFollowers(b batch) {
+	br.mu.Lock()
+	br.queuedForFollowers = br.queuedForFollowers.mergedWith(b)
+	br.mu.Unlock()
+	br.ReportCrash()
+}
+
 // ReportCrash starts a round of messages, which also sends the new suspicions of the crash tracker. It never blocks.
 func (br *Broadcaster) ReportCrash() {
 	select {
@@ -194,9 +237,12 @@
 	}
 }
 
-// distribute moves what was announced to the queues of all peers and starts a goroutine for each queue that has none.
+// distribute publishes what was announced to the followers, moves it to the queues of all peers and starts a goroutine for
+// each queue that has none.
 func (br *Broadcaster) distribute(ctx context.Context) {
-	peers := br.peers(time.Now())
+	now := time.Now()
+	peers := br.peers(now)
+	br.publish(now)
 	br.mu.Lock()
 	defer br.mu.Unlock()
 	b := br.queued
@@ -216,8 +262,44 @@
 	}
 }
 
-// peers returns the other daemons: those that have an entry in the store, and those that sent a message recently.
+// publish sends the followers of this daemon what was announced, by it or through it.
+func (br *Broadcaster) publish(now time.Time) {
+	br.mu.Lock()
+	b := br.queuedForFollowers.mergedWith(br.queued).forFollowers()
+	br.queuedForFollowers = batch{}
+	br.mu.Unlock()
+	if !b.empty() {
+		br.followers.Publish("", b.message(br.self, now))
+	}
+	br.followers.Wake()
+}
+
+// peers returns the daemons to which this one sends its announcements: all other hubs, if it is a hub itself, else its hub or,
+// while it follows none, a few hubs.
 func (br *Broadcaster) peers(now time.Time) []mangostate.Member {
+	if br.topology.IsHub() {
+		return br.otherHubs(now)
+	}
+	if hub, ok := br.topology.Hub(); ok {
+		return []mangostate.Member{hub}
+	}
+	hubs := br.otherHubs(now)
+	slices.SortStableFunc(hubs, func(a, b mangostate.Member) int {
+		return cmp.Compare(br.distance(a), br.distance(b))
+	})
+	return hubs[:min(len(hubs), unfollowedPeers)]
+}
+
+// distance is 0 for a hub in the own data centre, else 1.
+func (br *Broadcaster) distance(m mangostate.Member) int {
+	if m.DataCentre == br.self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// otherHubs returns the other hubs: those that hold seats, and those that sent a message recently.
+func (br *Broadcaster) otherHubs(now time.Time) []mangostate.Member {
 	br.mu.Lock()
 	defer br.mu.Unlock()
 	known := map[string]bool{br.self.Name: true}
@@ -239,86 +321,157 @@
 	return peers
 }
 
-// recordSender remembers the sender of a message as a peer.
+// recordSender remembers the sender of a message, a hub, as a peer.
 func (br *Broadcaster) recordSender(from *mangomessage.Member, now time.Time) {
-	if from.GetName() == "" || from.GetAddress() == "" {
+	if from.GetName() == "" || from.GetName() == br.self.Name || from.GetAddress() == "" {
 		return
 	}
 	br.mu.Lock()
 	defer br.mu.Unlock()
-	br.recentSenders[from.GetName()] = recentSender{member: mangostate.Member{Name: from.GetName(), Address: from.GetAddress()}, at: now}
+	br.recentSenders[from.GetName()] = recentSender{member: mangostate.Member{Name: from.GetName(), DataCentre: from.GetDataCentre(), Address: from.GetAddress()}, at: now}
 }
 
-// Exchange implements mangopeer.Handler. It receives the announcements of another daemon.
+// Exchange is part of mangopeer.Handler. It receives the announcements of another daemon, and as a hub sends them on.
 func (br *Broadcaster) Exchange(_ context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error) {
 	now := time.Now()
-	br.recordSender(request.GetFrom(), now)
+	if request.GetRelayed() {
+		br.recordSender(request.GetFrom(), now)
+	}
 	if request.GetRevision() > 0 {
 		br.onRevision(request.GetRevision())
 	}
+	if request.GetGroupSize() > 0 {
+		br.onLoads(request.GetFrom().GetName(), LoadReport{
+			Loads: request.GetReplicaLoads(), Daemons: int(request.GetGroupSize()), Group: request.GetRelayed(),
+		})
+	}
+	if c := request.GetClaim(); c != nil {
+		br.onClaim(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
+	}
+	isHub := br.topology.IsHub()
+	news := br.receive(request, isHub, now)
+	switch {
+	case !isHub || news.empty():
+	case request.GetRelayed():
+		br.enqueueForFollowers(news)
+	default:
+		br.enqueue(news)
+	}
+	if isHub && len(request.GetSuspicions()) > 0 {
+		br.ReportCrash()
+	}
+	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: br.self.Name, Address: br.self.Address}}, nil
+}
+
+// HandleNews takes the news that this daemon's hub has sent.
+func (br *Broadcaster) HandleNews(news []*mangomessage.ExchangeRequest) {
+	now := time.Now()
+	for _, request := range news {
+		br.receive(request, false, now)
+	}
+}
+
+// receive applies the announcements of another daemon and returns those that a hub sends on. A hub sends on an outage only
+// when it has checked the replica itself, so that a daemon that is cut off does not make others avoid sound replicas.
+func (br *Broadcaster) receive(request *mangomessage.ExchangeRequest, isHub bool, now time.Time) batch {
+	var news batch
 	for _, r := range request.GetSightings() {
 		layers := mangoreplica.LayerRange{From: int(r.GetFromLayer()), To: int(r.GetToLayer())}
 		if layers.Valid() {
-			br.onLayers(mangoreplica.LayerReport{Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()}, Layers: layers})
+			report := mangoreplica.LayerReport{Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()}, Layers: layers}
+			br.onLayers(report)
+			news.layerReports = append(news.layerReports, report)
 		}
 	}
 	for _, o := range request.GetGivenOrders() {
 		layers := mangoreplica.LayerRange{From: int(o.GetFromLayer()), To: int(o.GetToLayer())}
 		if layers.Valid() {
-			br.onOrder(mangolayout.GivenOrder{
+			order := mangolayout.GivenOrder{
 				Replica: mangoreplica.Incarnation{ID: o.GetReplica(), Born: o.GetBorn()}, Layers: layers,
 				Until: now.Add(time.Duration(o.GetLeftMs()) * time.Millisecond),
-			})
+			}
+			br.onOrder(order)
+			news.orders = append(news.orders, order)
 		}
 	}
 	for _, p := range request.GetPaces() {
-		br.onPace(mangoreplica.Pace{
+		pace := mangoreplica.Pace{
 			Replica: mangoreplica.Incarnation{ID: p.GetReplica(), Born: p.GetBorn()}, Slowness: float64(p.GetSlowness()),
 			At: now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
-		}, request.GetFrom().GetName())
+		}
+		br.onPace(pace, request.GetFrom().GetName())
+		news.paces = append(news.paces, pace)
 	}
-	if c := request.GetClaim(); c != nil {
-		br.onClaim(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
+	if request.GetRelayed() {
+		br.crashes.MergeRelayed(request.GetSuspicions(), now)
+	} else {
+		br.crashes.Merge(request.GetSuspicions(), now)
 	}
-	br.crashes.Merge(request.GetSuspicions(), now)
 	fleet := br.state.View().Fleet
 	for _, o := range request.GetOutages() {
-		r := fleet.ByID(o.GetReplica())
-		left := time.Duration(int64(o.GetHoldMs())-int64(o.GetAgeMs())) * time.Millisecond
-		// A daemon of an earlier version does not send the start of the replica.
-		if r == nil || left <= 0 || (o.GetBorn() != 0 && o.GetBorn() != r.Born) {
-			continue
-		}
-		if mangoreplica.Cause(o.GetCause()) == mangoreplica.CauseStopping {
-			br.markLeaving(r, o.GetBorn(), request.GetFrom().GetName(), now)
-			continue
+		if r := fleet.ByID(o.GetReplica()); r != nil && br.receiveOutage(r, o, request.GetFrom().GetName(), isHub, now) {
+			news.outages = append(news.outages, mangoreplica.Outage{
+				Replica: r.Incarnation(), Cause: mangoreplica.Cause(o.GetCause()), At: now, Until: now.Add(time.Duration(o.GetHoldMs()) * time.Millisecond),
+			})
 		}
-		if br.health.Avoid(r.Incarnation(), mangoreplica.Cause(o.GetCause()), min(left, maxPeerHold), now) {
-			br.logger.WithFields(logrus.Fields{
-				"event": "replica_avoided", "replica": r.ID, "address": r.Address, "cause": o.GetCause(),
-				"peer": request.GetFrom().GetName(), "age_ms": o.GetAgeMs(), "hold_ms": min(left, maxPeerHold).Milliseconds(),
-			}).Warn("another daemon found a replica lost")
+	}
+	return news
+}
+
+// receiveOutage applies an outage that another daemon announced, and reports whether a hub sends it on at once.
+func (br *Broadcaster) receiveOutage(r *mangoreplica.Replica, o *mangomessage.Outage, peer string, isHub bool, now time.Time) bool {
+	left := time.Duration(int64(o.GetHoldMs())-int64(o.GetAgeMs())) * time.Millisecond
+	// A daemon of an earlier version does not send the start of the replica.
+	if left <= 0 || (o.GetBorn() != 0 && o.GetBorn() != r.Born) {
+		return false
+	}
+	cause := mangoreplica.Cause(o.GetCause())
+	switch {
+	case cause == mangoreplica.CauseStopping:
+		return br.markLeaving(r, o.GetBorn(), peer, now)
+	case cause == mangoreplica.CauseReachable:
+		return br.health.MarkReachable(r.Incarnation(), now)
+	case isHub && cause.LikelyDown():
+		if !br.health.Avoided(r.Incarnation(), now) {
 			br.onOutage(r)
 		}
+		return false
 	}
-	return &mangomessage.ExchangeReply{From: &mangomessage.Member{Name: br.self.Name, Address: br.self.Address}}, nil
+	isNew := br.health.Avoid(r.Incarnation(), cause, min(left, maxPeerHold), now)
+	if isNew {
+		br.logger.WithFields(logrus.Fields{
+			"event": "replica_avoided", "replica": r.ID, "address": r.Address, "cause": o.GetCause(),
+			"peer": peer, "age_ms": o.GetAgeMs(), "hold_ms": min(left, maxPeerHold).Milliseconds(),
+		}).Warn("another daemon found a replica lost")
+		br.onOutage(r)
+	}
+	return isNew
 }
 
-// markLeaving records that a replica told another daemon that it is leaving, if it is the same start of the replica.
-func (br *Broadcaster) markLeaving(r *mangoreplica.Replica, born int64, peer string, now time.Time) {
+// markLeaving records that a replica told another daemon that it is leaving, if it is the same start of the replica, and
+// reports whether that is news.
+func (br *Broadcaster) markLeaving(r *mangoreplica.Replica, born int64, peer string, now time.Time) bool {
 	if r.Born != born || !br.health.MarkLeaving(r.Incarnation(), now) {
-		return
+		return false
 	}
 	br.logger.WithFields(logrus.Fields{"event": "replica_leaving", "replica": r.ID, "address": r.Address, "peer": peer}).
 		Info("another daemon was told by a replica that it is leaving")
+	return true
 }
 
-// Fetch implements mangopeer.Handler. It always fails, since this kind of daemon keeps no history of profiles.
+// noFollowers is the Publisher of a daemon that serves no followers.
+type noFollowers struct{}
+
+func (noFollowers) Publish(string, *mangomessage.ExchangeRequest) {}
+
+func (noFollowers) Wake() {}
+
+// Fetch is part of mangopeer.Handler. It always fails, since this kind of daemon keeps no history of profiles.
 func (br *Broadcaster) Fetch(context.Context, *mangomessage.FetchRequest) (*mangomessage.FetchReply, error) {
 	return nil, &Error{Op: "Fetch", Kind: KindNotServed}
 }
 
-// Status implements mangopeer.Handler. It always fails, since this kind of daemon keeps no records of calls.
+// Status is part of mangopeer.Handler. It always fails, since this kind of daemon keeps no records of calls.
 func (br *Broadcaster) Status(context.Context, *mangomessage.StatusRequest) (*mangomessage.StatusReply, error) {
 	return nil, &Error{Op: "Status", Kind: KindNotServed}
 }
--- a/internal/mangobroadcast/queue.go
+++ b/internal/mangobroadcast/queue.go
@@ -15,6 +15,14 @@
 // maxQueued bounds the outages, layer reports, orders and paces that wait in a queue, each kind by itself.
 const maxQueued = 1024
 
+// LoadReport is the load that daemons put on replicas.
+type LoadReport struct {
+	Loads []*mangomessage.ReplicaLoad
+	// Daemons is the number of daemons, at least 1, and Group says that they are a hub and its followers.
+	Daemons int
+	Group   bool
+}
+
 // batch is what is sent to a peer in one message, apart from suspicions.
 type batch struct {
 	outages      []mangoreplica.Outage
@@ -24,9 +32,11 @@
 	claim    *Claim
 	orders   []mangolayout.GivenOrder
 	paces    []mangoreplica.Pace
+	loads    *LoadReport
 }
 
-// mergedWith returns the batch with a later one added. The higher revision and the later claim replace the others.
+// mergedWith returns the batch with a later one added. The higher revision, the later claim and the later loads replace the
+// others.
 func (b batch) mergedWith(o batch) batch {
 	b.outages = appendBounded(b.outages, o.outages)
 	b.layerReports = appendBounded(b.layerReports, o.layerReports)
@@ -36,6 +46,16 @@
 	if o.claim != nil {
 		b.claim = o.claim
 	}
+	if o.loads != nil {
+		b.loads = o.loads
+	}
+	return b
+}
+
+// forFollowers returns the part of the batch that followers get as news: claims concern hubs only, and revisions and loads
+// reach followers in another way.
+func (b batch) forFollowers() batch {
+	b.revision, b.claim, b.loads = 0, nil, nil
 	return b
 }
 
@@ -51,13 +71,13 @@
 
 // empty reports whether there is nothing to send.
 func (b batch) empty() bool {
-	return len(b.outages) == 0 && len(b.layerReports) == 0 && len(b.orders) == 0 && len(b.paces) == 0 && b.revision == 0 && b.claim == nil
+	return len(b.outages) == 0 && len(b.layerReports) == 0 && len(b.orders) == 0 && len(b.paces) == 0 && b.revision == 0 && b.claim == nil && b.loads == nil
 }
 
 // message encodes the batch as a message without suspicions. Times are sent as ages or remaining times, so that clocks need
 // not agree.
 func (b batch) message(self mangostate.Member, now time.Time) *mangomessage.ExchangeRequest {
-	m := &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: self.Name, Address: self.Address}, Revision: b.revision}
+	m := &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: self.Name, DataCentre: self.DataCentre, Address: self.Address}, Revision: b.revision}
 	for _, o := range b.outages {
 		m.Outages = append(m.Outages, &mangomessage.Outage{
 			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)), Born: o.Replica.Born,
@@ -82,6 +102,9 @@
 	if b.claim != nil {
 		m.Claim = &mangomessage.Claim{Fence: b.claim.Fence, Holder: b.claim.Holder}
 	}
+	if b.loads != nil {
+		m.ReplicaLoads, m.GroupSize = b.loads.Loads, uint32(b.loads.Daemons)
+	}
 	return m
 }
 
@@ -121,12 +144,13 @@
 // are sent again later, but not the batch, which is out of date by then.
 func (br *Broadcaster) sendBatch(ctx context.Context, m mangostate.Member, q *peerQueue, b batch, after uint64) bool {
 	now := time.Now()
-	suspicions, next := br.crashes.UpdatesFor(m.Name, br.peerCount(), after, now)
+	isHub := br.topology.IsHub()
+	suspicions, next := br.crashes.UpdatesToHub(after, isHub, now)
 	if b.empty() && len(suspicions) == 0 {
 		return true
 	}
 	message := b.message(br.self, now)
-	message.Suspicions = suspicions
+	message.Suspicions, message.Relayed = suspicions, isHub
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	if _, err := br.client.Exchange(ctx, m.Address, message); err != nil {
@@ -140,13 +164,6 @@
 	return true
 }
 
-// peerCount returns the number of peers that have a queue.
-func (br *Broadcaster) peerCount() int {
-	br.mu.Lock()
-	defer br.mu.Unlock()
-	return len(br.peerQueues)
-}
-
 // anyUnreachable reports whether some peer did not answer its last message.
 func (br *Broadcaster) anyUnreachable() bool {
 	br.mu.Lock()
--- a/internal/mangobudget/budget.go
+++ b/internal/mangobudget/budget.go
@@ -29,8 +29,8 @@
 	services map[string]*serviceCounts
 	// restarted says that there is no slack in the first window, since the previous process may just have spent it.
 	restarted bool
-	// maxDaemons is the highest number of daemons seen so far. It divides the slack, because a daemon that is no longer
-	// seen may still spend its share.
+	// maxDaemons is the highest number of daemons seen so far; 0 if none is known, and then there is no slack. It divides the
+	// slack, because a daemon that is no longer seen may still spend its share.
 	maxDaemons int
 }
 
@@ -48,7 +48,7 @@
 
 // New returns a budget that has counted no requests.
 func New(limit Limit, opts ...Option) *Budget {
-	b := &Budget{start: time.Now(), limit: limit, services: map[string]*serviceCounts{}, maxDaemons: 1}
+	b := &Budget{start: time.Now(), limit: limit, services: map[string]*serviceCounts{}}
 	for _, o := range opts {
 		o(b)
 	}
@@ -80,7 +80,7 @@
 }
 
 // Take spends one retry if that leaves the reserved share of the budget, which is kept for retries of higher priority.
-// daemons is the number of daemons that are seen to share the budget.
+// daemons is the number of daemons that are seen to share the budget; 0 if it is not known.
 func (b *Budget) Take(service string, daemons int, reserved float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,7 +104,10 @@
 // allowance returns the number of retries that this daemon may send in the present window.
 func (b *Budget) allowance(c *serviceCounts, now time.Time) float64 {
 	requests := float64(c.requests.count(now.Sub(b.start), b.limit.Window))
-	slack := b.limit.Slack / float64(b.maxDaemons)
+	slack := b.limit.Slack / float64(max(b.maxDaemons, 1))
+	if b.maxDaemons == 0 {
+		slack = 0
+	}
 	if b.restarted && now.Sub(b.start) < b.limit.Window {
 		slack = 0
 	}
--- a/internal/mangocrash/log.go
+++ b/internal/mangocrash/log.go
@@ -16,10 +16,21 @@
 	onlySuspect bool
 	// cleared says that the call of the fingerprint got past its crashes up to the time at.
 	cleared bool
-	// fromPeer says that a peer reported it, rather than this daemon.
-	fromPeer bool
+	origin  origin
 }
 
+// origin says from whom this daemon has an entry.
+type origin int
+
+const (
+	// fromSelf entries are of this daemon.
+	fromSelf origin = iota
+	// fromPeer entries were sent by another daemon.
+	fromPeer
+	// fromHub entries were sent by a hub, which sends them to all other hubs, too.
+	fromHub
+)
+
 // appendLog adds an entry for peers. When the log is full, it drops the older half.
 func (t *CrashTracker) appendLog(e logEntry) {
 	t.log = append(t.log, e)
@@ -35,18 +46,10 @@
 	return t.newsMatching(after, now, func(logEntry) bool { return true })
 }
 
-// forwardFanout is the number of peers, on average, to which a daemon forwards an entry that it has from another peer.
-// Daemons send their own reports to all peers; forwarding also reaches a daemon that cannot be reached by the one that
-// reported. With n daemons, each forwarding to that many, such a daemon misses a share of about exp(-forwardFanout) of the
-// entries. Forwarding to all would take a number of messages that grows with the square of the number of daemons.
-const forwardFanout = 4
-
-// UpdatesFor is like Updates, for daemons that all send their own reports to all peers. It returns the entries of this
-// daemon, and of the entries that it has from peers only those that it forwards to this one of a number of peers.
-func (t *CrashTracker) UpdatesFor(peer string, peers int, after uint64, now time.Time) ([]*mangomessage.Suspicion, uint64) {
-	return t.newsMatching(after, now, func(e logEntry) bool {
-		return !e.fromPeer || rendezvousWeight(t.self+"\x00"+e.crashID+e.fingerprint, peer)%uint64(max(peers, 1)) < forwardFanout
-	})
+// UpdatesToHub is like Updates, for a receiver that is a hub. It returns the entries of this daemon and, if this daemon is a
+// hub as well, those that its followers sent.
+func (t *CrashTracker) UpdatesToHub(after uint64, isHub bool, now time.Time) ([]*mangomessage.Suspicion, uint64) {
+	return t.newsMatching(after, now, func(e logEntry) bool { return e.origin == fromSelf || (isHub && e.origin == fromPeer) })
 }
 
 // newsMatching returns the unexpired log entries after a position that are wanted, and the position after the last one.
--- a/internal/mangocrash/progress.go
+++ b/internal/mangocrash/progress.go
@@ -24,7 +24,7 @@
 	if cleared >= maxProgressClears {
 		return
 	}
-	t.clear(fingerprint, now, false)
+	t.clear(fingerprint, now, fromSelf)
 	// The call is no longer a suspect, so its hosts may take another one while it still runs.
 	for host, f := range t.suspectOnHost {
 		if f == fingerprint {
--- a/internal/mangocrash/tracker.go
+++ b/internal/mangocrash/tracker.go
@@ -75,7 +75,7 @@
 	t.expire(now)
 	onlySuspect := t.countSuspects(fingerprints) <= 1
 	for _, f := range fingerprints {
-		t.recordInFlight(crashID, f, now, onlySuspect, false)
+		t.recordInFlight(crashID, f, now, onlySuspect, fromSelf)
 	}
 }
 
@@ -86,12 +86,21 @@
 	if len(t.crashesByFingerprint[fingerprint]) == 0 {
 		return
 	}
-	t.clear(fingerprint, now, false)
+	t.clear(fingerprint, now, fromSelf)
 }
 
 // Merge adds the suspicions that a peer sent. A pair of crash and fingerprint counts once, however many peers send it and
 // however often.
 func (t *CrashTracker) Merge(suspicions []*mangomessage.Suspicion, now time.Time) {
+	t.merge(suspicions, fromPeer, now)
+}
+
+// MergeRelayed is Merge for suspicions that a hub sent, which reach the other hubs without this daemon.
+func (t *CrashTracker) MergeRelayed(suspicions []*mangomessage.Suspicion, now time.Time) {
+	t.merge(suspicions, fromHub, now)
+}
+
+func (t *CrashTracker) merge(suspicions []*mangomessage.Suspicion, from origin, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -102,16 +111,15 @@
 		case m.GetCleared():
 			// The messages about a crash and about a later completion have different delays, so the crash may appear to be
 			// the later one here. Extending the time is safe: a call that crashes upstreams does not complete shortly before.
-			t.clear(m.GetFingerprint(), at.Add(sameCrashWindow), true)
+			t.clear(m.GetFingerprint(), at.Add(sameCrashWindow), from)
 		case m.GetCrashId() != "":
-			t.recordInFlight(m.GetCrashId(), m.GetFingerprint(), at, m.GetAlone(), true)
+			t.recordInFlight(m.GetCrashId(), m.GetFingerprint(), at, m.GetAlone(), from)
 		}
 	}
 }
 
-// recordInFlight records that a call with the fingerprint was in flight in the crash with the id. fromPeer says that a peer
-// reported it.
-func (t *CrashTracker) recordInFlight(id, fingerprint string, at time.Time, onlySuspect, fromPeer bool) {
+// recordInFlight records that a call with the fingerprint was in flight in the crash with the id.
+func (t *CrashTracker) recordInFlight(id, fingerprint string, at time.Time, onlySuspect bool, from origin) {
 	c := t.crashWithID(id, at)
 	if c.inFlight[fingerprint] {
 		return
@@ -121,7 +129,7 @@
 	}
 	c.inFlight[fingerprint] = true
 	t.crashesByFingerprint[fingerprint] = append(t.crashesByFingerprint[fingerprint], c)
-	t.appendLog(logEntry{fingerprint: fingerprint, crashID: id, at: at, onlySuspect: onlySuspect, fromPeer: fromPeer})
+	t.appendLog(logEntry{fingerprint: fingerprint, crashID: id, at: at, onlySuspect: onlySuspect, origin: from})
 }
 
 // crashWithID returns the crash with the id and adds it if it is new. An id that another daemon gave to the same crash of
@@ -146,7 +154,7 @@
 
 // clear removes the crashes up to a time from those that count against a fingerprint. The value false in inFlight keeps late
 // reports of these crashes from counting again.
-func (t *CrashTracker) clear(fingerprint string, at time.Time, fromPeer bool) {
+func (t *CrashTracker) clear(fingerprint string, at time.Time, from origin) {
 	var left []*crash
 	for _, c := range t.crashesByFingerprint[fingerprint] {
 		if c.at.After(at) {
@@ -159,7 +167,7 @@
 		return
 	}
 	t.setCrashes(fingerprint, left)
-	t.appendLog(logEntry{fingerprint: fingerprint, at: at, cleared: true, fromPeer: fromPeer})
+	t.appendLog(logEntry{fingerprint: fingerprint, at: at, cleared: true, origin: from})
 }
 
 // setCrashes replaces the crashes that count against a fingerprint.
--- a/internal/mangodaemon/adapter.go
+++ b/internal/mangodaemon/adapter.go
@@ -26,6 +26,7 @@
 // peerHandler answers the requests of other entry hosts. Exchanges and fetches go to the controller.
 type peerHandler struct {
 	*mangocontrol.Controller
+	mangopeer.NoHub
 	ledger *mangoledger.Ledger
 }
 
--- a/internal/mangodaemon/daemon.go
+++ b/internal/mangodaemon/daemon.go
@@ -85,7 +85,7 @@
 	}
 	componentCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	peerServer, err := mangopeer.NewServer(peerHandler{d.controller, d.ledger}, d.credentials)
+	peerServer, err := mangopeer.NewServer(peerHandler{Controller: d.controller, ledger: d.ledger}, d.credentials)
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindStart, Err: err}
 	}
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -15,6 +15,7 @@
 	"mangopath.org/mangopath/internal/mangobudget"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodeputy"
+	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangolog"
@@ -61,7 +62,8 @@
 	peers        *mangopeer.Client
 	placement    placementLease
 	deputy       *mangodeputy.Deputy
-	membership   memberLease
+	seats        *mangohub.Seats
+	hub          *hubComponents
 	placer       *mangolayout.Placer
 	ingress      *ingress
 	metrics      *mangometric.RelayMetrics
@@ -72,12 +74,12 @@
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, logWriter *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, health *mangoreplica.HealthTracker, budget *mangobudget.Budget, crashes *mangocrash.CrashTracker,
-	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, membership memberLease,
+	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, seats *mangohub.Seats, hub *hubComponents,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.RelayMetrics, registry *prometheus.Registry, lifecycle *lifecycle,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, logWriter: logWriter, self: self, controller: controller, health: health, budget: budget,
-		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, membership: membership, placer: placer,
+		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, lifecycle: lifecycle,
 	}
 }
@@ -109,7 +111,7 @@
 	if err != nil {
 		return &Error{Op: "Listen", Kind: KindStart, Err: err}
 	}
-	peerServer, err := mangopeer.NewServer(d.broadcaster, provideCredentials(d.settings))
+	peerServer, err := mangopeer.NewServer(peerHandler{d.broadcaster, d.hub.server}, provideCredentials(d.settings))
 	if err != nil {
 		return &Error{Op: "Run", Kind: KindStart, Err: err}
 	}
@@ -132,7 +134,11 @@
 	run("monitor", func() error { return d.monitor.Run(componentCtx) })
 	run("pacer", func() error { return d.slowDetector.Run(componentCtx) })
 	run("poller", func() error { return d.poller.Run(dutyCtx) })
-	run("membership", func() error { return d.membership.Run(dutyCtx) })
+	run("seats", func() error { return d.seats.Run(dutyCtx) })
+	run("reader", func() error { return d.hub.reader.Run(componentCtx) })
+	run("follower", func() error { return d.hub.follower.Run(componentCtx) })
+	run("hub", func() error { return d.hub.server.Run(componentCtx) })
+	run("loads", func() error { return d.hub.reporter.Run(componentCtx) })
 	run("placement", func() error { return d.placement.Run(dutyCtx) })
 	run("deputy", func() error { return d.deputy.Run(dutyCtx) })
 	run("placer", func() error { return d.placer.Run(dutyCtx) })
@@ -213,7 +219,7 @@
 		ActiveRequests:  func() float64 { return float64(d.lifecycle.activeRequests.Load()) },
 		Replicas:        func() float64 { return float64(view().Fleet.Len()) },
 		AvoidedReplicas: func() float64 { return float64(len(d.health.Outages(time.Now()))) },
-		Members:         func() float64 { return float64(len(view().Members)) },
+		Members:         func() float64 { return float64(d.health.Daemons()) },
 		ConfigurationVersion: func() float64 {
 			if t := view().Table; t != nil {
 				return float64(t.Version())
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -12,6 +12,7 @@
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodeputy"
+	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangolease"
 	"mangopath.org/mangopath/internal/mangoliveness"
@@ -29,8 +30,10 @@
 	// placementLeaseTime is the lifetime of the lease to place layers. It is short, since lost layers are not replaced while
 	// nobody holds the lease.
 	placementLeaseTime = 2 * time.Second
-	// memberLeaseTime is the lifetime of a daemon's announcement, for which a daemon that crashed still counts as live.
-	memberLeaseTime = 4 * time.Second
+	// seatLeaseTime is the lifetime of the lease of a hub's seat. Followers notice a lost hub long before that, so it only
+	// bounds the time with one hub less. The lease is renewed when seatRenewShare of the lifetime is left.
+	seatLeaseTime  = 4 * time.Second
+	seatRenewShare = 0.55
 	// crashWindow is the time within which crashes count as one. It is less than the time that an engine takes to begin a
 	// request after the crash of another one: reading a usual prompt takes about 50 ms.
 	crashWindow = 40 * time.Millisecond
@@ -46,15 +49,17 @@
 func provideBootID() bootID { return bootID(rand.Text()[:12]) }
 
 func provideSelf(s *mangomessage.RelaySettings) mangostate.Member {
-	return mangostate.Member{Name: s.GetHost().GetName(), Address: s.GetPeers().GetAddress()}
+	return mangostate.Member{
+		Name: s.GetHost().GetName(), DataCentre: s.GetHost().GetDataCentre(), Address: s.GetPeers().GetAddress(),
+	}
 }
 
 func provideStore(s *mangomessage.RelaySettings, metrics *mangometric.RelayMetrics) *platform.Store {
 	return platform.NewStore(s.GetStore().GetAddress(), milliseconds(s.GetStore().GetTimeout()), platform.WithCallObserver(metrics.CountStoreCall))
 }
 
-func provideController(store *platform.Store, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
-	return mangostate.New(platform.NewFeed(store), health, mangostate.WithLogger(logger))
+func provideController(mirror *mangohub.Mirror, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
+	return mangostate.New(platform.NewFeed(mirror), health, mangostate.WithLogger(logger))
 }
 
 func provideBudget(s *mangomessage.RelaySettings) *mangobudget.Budget {
@@ -79,16 +84,29 @@
 }
 
 func provideBroadcaster(
-	self mangostate.Member, client *mangopeer.Client, state *mangostate.Controller, health *mangoreplica.HealthTracker,
+	self mangostate.Member, client *mangopeer.Client, state *mangostate.Controller, follower *mangohub.Follower, health *mangoreplica.HealthTracker,
 	crashes *mangocrash.CrashTracker, logger *logrus.Logger,
 ) *mangobroadcast.Broadcaster {
-	return mangobroadcast.New(self, client, state, health, crashes, mangobroadcast.WithLogger(logger))
+	return mangobroadcast.New(self, client, state, follower, health, crashes, mangobroadcast.WithLogger(logger))
 }
 
-// providePoller also makes the broadcaster deliver the revisions and the layer reports that other daemons send.
-func providePoller(state *mangostate.Controller, store *platform.Store, broadcaster *mangobroadcast.Broadcaster) *mangostate.Poller {
-	p := mangostate.NewPoller(state, store, broadcaster.AnnounceRevision)
-	broadcaster.OnStateUpdate(p.RecordPeerRevision, state.ReportLayers)
+// providePoller also makes the broadcaster deliver the revisions and the layer reports that other daemons send. Only hubs
+// poll.
+func providePoller(
+	state *mangostate.Controller, store *platform.Store, contact *mangostate.Contact, follower *mangohub.Follower, reader *mangohub.Reader,
+	mirror *mangohub.Mirror, broadcaster *mangobroadcast.Broadcaster,
+) *mangostate.Poller {
+	announce := func(revision uint64) {
+		mirror.Confirm(revision, 0)
+		broadcaster.AnnounceRevision(revision)
+	}
+	p := mangostate.NewPoller(
+		state, store, contact, announce, mangostate.WithPolls(follower.IsHub), mangostate.WithPollResult(reader.RecordCall),
+	)
+	broadcaster.OnStateUpdate(func(revision uint64) {
+		mirror.Confirm(revision, 0)
+		p.RecordPeerRevision(revision)
+	}, state.ReportLayers)
 	return p
 }
 
@@ -110,29 +128,47 @@
 func provideRelay(
 	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker,
 	budget *mangobudget.Budget, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
-	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, logger *logrus.Logger,
+	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, follower *mangohub.Follower, logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, health, budget, crashes,
-		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(slowDetector),
+		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
 		mangorelay.WithObserver(metrics), mangorelay.WithCloseConnections(lifecycle.isStopping), mangorelay.WithRejectNew(lifecycle.refusesNew),
 	)
 }
 
-// provideMonitor also makes the relay check the replicas that other daemons or the monitor report as lost.
+// hubDetector looks for slow replicas on hubs only: one probe of a data centre serves all its daemons.
+type hubDetector struct {
+	detector *mangoslowness.Detector
+	follower *mangohub.Follower
+}
+
+// ReportSlow implements mangorelay.SlowReplicaFinder.
+func (d hubDetector) ReportSlow(service, dataCentre string) {
+	if d.follower.IsHub() {
+		d.detector.ReportSlow(service, dataCentre)
+	}
+}
+
+// provideMonitor also makes the relay check the replicas that the monitor or, on a hub, other daemons report as lost. Other
+// daemons rely on the check of their hub.
 func provideMonitor(
-	self mangostate.Member, state *mangostate.Controller, relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger,
+	self mangostate.Member, state *mangostate.Controller, relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, follower *mangohub.Follower,
+	logger *logrus.Logger,
 ) *mangoliveness.Monitor {
-	broadcaster.OnOutage(relay.CheckReplica)
+	broadcaster.OnOutage(func(r *mangoreplica.Replica) {
+		if follower.IsHub() {
+			relay.CheckReplica(r)
+			return
+		}
+		relay.MarkLost(r)
+	})
 	return mangoliveness.New(self, state, state.Subscribe(), relay.CheckReplica, mangoliveness.WithLogger(logger))
 }
 
 // placementLease is the lease whose holder may order engines to hold layers.
 type placementLease struct{ *mangolease.LeasedKey }
 
-// memberLease is the lease by which this daemon announces itself to the others.
-type memberLease struct{ *mangolease.LeasedKey }
-
 // leaseLookup is the mangolease.Lookup of one lease: the controller and a subscription of its own.
 type leaseLookup struct {
 	*mangostate.Controller
@@ -144,25 +180,29 @@
 
 func providePlacementLease(
 	s *mangomessage.RelaySettings, self mangostate.Member, b bootID, store *platform.Store, state *mangostate.Controller,
-	poller *mangostate.Poller, logger *logrus.Logger,
+	contact *mangostate.Contact, seats *mangohub.Seats, logger *logrus.Logger,
 ) placementLease {
 	owner := self.Name + "/" + string(b)
 	return placementLease{mangolease.New(
 		store, mangostate.PlacementKey, owner, leaseLookup{state, state.Subscribe()}, mangolease.WithLifetime(leaseTime(s, placementLeaseTime)),
 		mangolease.WithTimeout(storeCallTimeout), mangolease.WithObserver(leaseObserver(logger, "placement")),
-		mangolease.WithStoreUnreachable(poller.StoreDown),
+		mangolease.WithStoreUnreachable(contact.Down), mangolease.WithEligible(seats.IsHub),
 	)}
 }
 
-func provideMemberLease(
+// provideSeats makes the leases of the hubs' seats of this daemon's data centre.
+func provideSeats(
 	s *mangomessage.RelaySettings, self mangostate.Member, b bootID, store *platform.Store, state *mangostate.Controller,
-	logger *logrus.Logger,
-) memberLease {
-	return memberLease{mangolease.New(
-		store, mangostate.MemberKey(self.Name, string(b)), self.Address, leaseLookup{state, state.Subscribe()},
-		mangolease.WithLifetime(leaseTime(s, memberLeaseTime)), mangolease.WithTimeout(storeCallTimeout),
-		mangolease.WithObserver(leaseObserver(logger, "membership")),
-	)}
+	contact *mangostate.Contact, logger *logrus.Logger,
+) *mangohub.Seats {
+	return mangohub.NewSeats(func(seat int, eligible func() bool) mangohub.Lease {
+		return mangolease.New(
+			store, mangostate.SeatKey(self.DataCentre, seat), mangostate.SeatValue(self, string(b)), leaseLookup{state, state.Subscribe()},
+			mangolease.WithLifetime(leaseTime(s, seatLeaseTime)), mangolease.WithTimeout(storeCallTimeout), mangolease.WithRenewShare(seatRenewShare),
+			mangolease.WithObserver(leaseObserver(logger, "seat")), mangolease.WithStoreUnreachable(contact.Down),
+			mangolease.WithEligible(eligible), mangolease.WithAcquireDelay(func() time.Duration { return mangohub.SeatDelay(s.GetHost().GetProcessorShare()) }),
+		)
+	})
 }
 
 // leaseTime returns the wanted lifetime of a lease, or the shortest one that the store grants if that is longer.
@@ -207,10 +247,12 @@
 
 // provideDeputy also connects the deputy to the claims that it and other daemons broadcast.
 func provideDeputy(
-	self mangostate.Member, placement placementLease, state *mangostate.Controller, poller *mangostate.Poller, broadcaster *mangobroadcast.Broadcaster,
-	logger *logrus.Logger,
+	self mangostate.Member, placement placementLease, state *mangostate.Controller, contact *mangostate.Contact, seats *mangohub.Seats,
+	broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger,
 ) *mangodeputy.Deputy {
-	d := mangodeputy.New(self, placement, state, poller.StoreDown, func(fence uint64, holder bool) {
+	// Only hubs take part in the election.
+	storeUnreachable := func() bool { return seats.IsHub() && contact.Down() }
+	d := mangodeputy.New(self, placement, state, storeUnreachable, func(fence uint64, holder bool) {
 		broadcaster.AnnounceClaim(mangobroadcast.Claim{Fence: fence, Holder: holder})
 	}, mangodeputy.WithLogger(logger))
 	broadcaster.OnClaim(func(from string, c mangobroadcast.Claim) { d.HandleClaim(from, c.Fence, c.Holder) })
--- /dev/null
+++ b/internal/mangoentry/provide_hub.go
@@ -0,0 +1,103 @@
+package mangoentry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangobroadcast"
+	"mangopath.org/mangopath/internal/mangocrash"
+	"mangopath.org/mangopath/internal/mangohub"
+	"mangopath.org/mangopath/internal/mangopeer"
+	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/pkg/mangomessage"
+	"mangopath.org/mangopath/platform"
+)
+
+// followDialer is a mangohub.Dialer by the client of peers.
+type followDialer struct{ client *mangopeer.Client }
+
+// Follow implements mangohub.Dialer.
+func (d followDialer) Follow(ctx context.Context, address string, request *mangomessage.FollowRequest) (mangohub.Stream, error) {
+	stream, err := d.client.Follow(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+func provideFollower(
+	self mangostate.Member, client *mangopeer.Client, state *mangostate.Controller, mirror *mangohub.Mirror, seats *mangohub.Seats,
+	logger *logrus.Logger,
+) *mangohub.Follower {
+	return mangohub.NewFollower(self, followDialer{client}, state, mirror, seats, mangohub.WithFollowerLogger(logger))
+}
+
+func provideReader(
+	store *platform.Store, mirror *mangohub.Mirror, seats *mangohub.Seats, follower *mangohub.Follower, contact *mangostate.Contact,
+	logger *logrus.Logger,
+) *mangohub.Reader {
+	return mangohub.NewReader(store, mirror, seats, follower, mangohub.WithReaderLogger(logger), mangohub.WithContact(func() { contact.Record(0) }))
+}
+
+// provideReporter also connects the reporter to the loads that other daemons announce.
+func provideReporter(
+	self mangostate.Member, health *mangoreplica.HealthTracker, state *mangostate.Controller, follower *mangohub.Follower, table *mangohub.LoadTable,
+	broadcaster *mangobroadcast.Broadcaster,
+) *mangohub.Reporter {
+	r := mangohub.NewReporter(self.Name, self.DataCentre, health, state, follower, table, func(loads []*mangomessage.ReplicaLoad, daemons int) {
+		broadcaster.AnnounceLoads(mangobroadcast.LoadReport{Loads: loads, Daemons: daemons})
+	})
+	broadcaster.OnLoads(func(from string, l mangobroadcast.LoadReport) { r.HandleReport(from, l.Loads, l.Daemons, l.Group) })
+	return r
+}
+
+// provideHubServer also makes the broadcaster publish to followers, and the follower pass on what its hub sends.
+func provideHubServer(
+	self mangostate.Member, mirror *mangohub.Mirror, contact *mangostate.Contact, reporter *mangohub.Reporter, crashes *mangocrash.CrashTracker,
+	broadcaster *mangobroadcast.Broadcaster, follower *mangohub.Follower, logger *logrus.Logger,
+) *mangohub.Server {
+	server := mangohub.NewServer(
+		self.Name, mirror, mangohub.WithServerLogger(logger), mangohub.WithLoads(reporter.Loads),
+		mangohub.WithSuspicions(func(after uint64) ([]*mangomessage.Suspicion, uint64) { return crashes.Updates(after, time.Now()) }),
+	)
+	broadcaster.OnPublish(server)
+	follower.OnUpdate(func(u *mangomessage.FollowUpdate) {
+		if !u.GetStoreLost() && !slices.Contains(u.GetPath(), self.Name) {
+			contact.Record(time.Duration(u.GetConfirmedAgeMs()) * time.Millisecond)
+		}
+		broadcaster.HandleNews(u.GetNews())
+		reporter.HandleUpdate(u)
+	})
+	return server
+}
+
+// peerHandler answers the calls of other daemons: announcements go to the broadcaster, followers to the server.
+type peerHandler struct {
+	*mangobroadcast.Broadcaster
+	server *mangohub.Server
+}
+
+var _ mangopeer.Handler = peerHandler{}
+
+// Follow implements mangopeer.Handler.
+func (h peerHandler) Follow(request *mangomessage.FollowRequest, stream mangomessage.DRPCPeer_FollowStream) error {
+	return h.server.Serve(stream.Context(), request, stream.Send)
+}
+
+// hubComponents are the parts by which a daemon learns of the store and of the load of others.
+type hubComponents struct {
+	reader   *mangohub.Reader
+	follower *mangohub.Follower
+	server   *mangohub.Server
+	reporter *mangohub.Reporter
+}
+
+func provideHubComponents(
+	reader *mangohub.Reader, follower *mangohub.Follower, server *mangohub.Server, reporter *mangohub.Reporter,
+) *hubComponents {
+	return &hubComponents{reader: reader, follower: follower, server: server, reporter: reporter}
+}
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -8,16 +8,19 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolog"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, provideMemberLease, providePlacer, provideRegistry, newLifecycle, newIngress,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	providePoller, provideEngines, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, newLifecycle, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -11,9 +11,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"mangopath.org/mangopath/internal/mangoconn"
+	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolog"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -22,32 +24,40 @@
 // Initialize assembles a daemon from its settings. logWriter is the writer of the logger, whose dropped lines are counted.
 func Initialize(settings *mangomessage.RelaySettings, logger *logrus.Logger, logWriter *mangolog.Writer) (*Daemon, error) {
 	member := provideSelf(settings)
+	mirror := mangohub.NewMirror()
+	healthTracker := mangoreplica.NewHealthTracker()
+	controller := provideController(mirror, healthTracker, logger)
+	budget := provideBudget(settings)
+	crashTracker := provideCrashTracker(settings)
+	dialer := mangoconn.New()
+	client := providePeers(settings)
+	mangoentryBootID := provideBootID()
 	registry := provideRegistry()
 	relayMetrics, err := mangometric.NewRelay(registry)
 	if err != nil {
 		return nil, err
 	}
 	store := provideStore(settings, relayMetrics)
-	healthTracker := mangoreplica.NewHealthTracker()
-	controller := provideController(store, healthTracker, logger)
-	budget := provideBudget(settings)
-	crashTracker := provideCrashTracker(settings)
-	dialer := mangoconn.New()
-	client := providePeers(settings)
-	broadcaster := provideBroadcaster(member, client, controller, healthTracker, crashTracker, logger)
+	contact := mangostate.NewContact()
+	seats := provideSeats(settings, member, mangoentryBootID, store, controller, contact, logger)
+	follower := provideFollower(member, client, controller, mirror, seats, logger)
+	broadcaster := provideBroadcaster(member, client, controller, follower, healthTracker, crashTracker, logger)
 	replicaClient := provideEngines(dialer, healthTracker, broadcaster, logger)
 	mangoentryLifecycle := newLifecycle()
 	detector := provideSlowDetector(controller, replicaClient, healthTracker, broadcaster, logger)
-	relay := provideRelay(settings, controller, dialer, healthTracker, budget, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, detector, logger)
-	poller := providePoller(controller, store, broadcaster)
-	monitor := provideMonitor(member, controller, relay, broadcaster, logger)
-	mangoentryBootID := provideBootID()
-	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, poller, logger)
-	deputy := provideDeputy(member, mangoentryPlacementLease, controller, poller, broadcaster, logger)
-	mangoentryMemberLease := provideMemberLease(settings, member, mangoentryBootID, store, controller, logger)
+	relay := provideRelay(settings, controller, dialer, healthTracker, budget, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, detector, follower, logger)
+	reader := provideReader(store, mirror, seats, follower, contact, logger)
+	poller := providePoller(controller, store, contact, follower, reader, mirror, broadcaster)
+	monitor := provideMonitor(member, controller, relay, broadcaster, follower, logger)
+	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, contact, seats, logger)
+	deputy := provideDeputy(member, mangoentryPlacementLease, controller, contact, seats, broadcaster, logger)
+	loadTable := mangohub.NewLoadTable()
+	reporter := provideReporter(member, healthTracker, controller, follower, loadTable, broadcaster)
+	server := provideHubServer(member, mirror, contact, reporter, crashTracker, broadcaster, follower, logger)
+	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
 	mangoentryIngress := newIngress(relay, controller, mangoentryLifecycle, logger)
-	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, detector, client, mangoentryPlacementLease, deputy, mangoentryMemberLease, placer, mangoentryIngress, relayMetrics, registry, mangoentryLifecycle)
+	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, mangoentryLifecycle)
 	return daemon, nil
 }
 
@@ -55,7 +65,8 @@
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, provideMemberLease, providePlacer, provideRegistry, newLifecycle, newIngress,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	providePoller, provideEngines, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, newLifecycle, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- /dev/null
+++ b/internal/mangohub/follower.go
@@ -0,0 +1,372 @@
+package mangohub
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/pkg/mangomessage"
+)
+
+const (
+	// silenceLimit is the time without an update after which a hub counts as lost. Hubs send an update each beatInterval.
+	silenceLimit = time.Second
+	// confirmationLimit is the age above which the hub's contact to the store no longer counts. Daemons that reach the store
+	// tell each other about once a second.
+	confirmationLimit = 1900 * time.Millisecond
+	// openTimeout bounds the time to connect to a hub and to get its first update.
+	openTimeout = 600 * time.Millisecond
+	// retryInterval is the time after which a daemon without a hub tries to find one, plus a random time up to the same.
+	retryInterval = 100 * time.Millisecond
+	// minRotation is the first time for which a hub without contact to the store is followed before another one is tried. It
+	// doubles with each hub in a row, up to maxRotation, as the store may be down for all.
+	minRotation = 600 * time.Millisecond
+	maxRotation = 10 * time.Second
+	// unconfirmedMemory is the time for which a hub without contact to the store is tried after all others.
+	unconfirmedMemory = 3 * time.Second
+	// settleTime is the least time for which a hub is followed before a better one replaces it.
+	settleTime = 2 * time.Second
+)
+
+// Link is the state of the stream from a hub.
+type Link struct {
+	// Hub is the name of the hub; empty if there is no stream.
+	Hub string
+	// Since is when the stream began, or when the last one ended.
+	Since time.Time
+	// UpdatedAt is the time of the last update.
+	UpdatedAt time.Time
+	// ConfirmedAt is the latest time at which the hub had all changes of the store, and zero while it says that it has lost the
+	// store. UnconfirmedAt is the time of the first update since then that was not confirmed; zero if the last one was.
+	ConfirmedAt, UnconfirmedAt time.Time
+	// StoreOnly says that only the changes of the store come on the stream.
+	StoreOnly bool
+}
+
+// Healthy reports whether there is a stream that is not silent.
+func (l Link) Healthy(now time.Time) bool {
+	return l.Hub != "" && now.Sub(l.UpdatedAt) <= silenceLimit
+}
+
+// Confirmed reports whether there is a stream from a hub that is in contact with the store.
+func (l Link) Confirmed(now time.Time) bool {
+	return l.Healthy(now) && now.Sub(l.ConfirmedAt) <= confirmationLimit
+}
+
+// Stream is a stream of updates from a hub.
+type Stream interface {
+	// Recv waits for the next update.
+	Recv() (*mangomessage.FollowUpdate, error)
+	Close()
+}
+
+// Dialer opens the stream of a hub. The end of ctx ends the stream.
+type Dialer interface {
+	Follow(ctx context.Context, address string, request *mangomessage.FollowRequest) (Stream, error)
+}
+
+// State returns what is known from the store.
+type State interface {
+	View() *mangostate.View
+}
+
+// Follower follows a hub: it writes the changes of the store to the mirror and passes on the rest of the updates.
+type Follower struct {
+	self     mangostate.Member
+	dialer   Dialer
+	state    State
+	mirror   *Mirror
+	seats    Holder
+	onUpdate func(u *mangomessage.FollowUpdate)
+	logger   logrus.FieldLogger
+
+	mu   sync.Mutex
+	link Link
+	// rotation is the time for which a hub without contact to the store is followed before another one is tried.
+	rotation time.Duration
+	// unconfirmed has the hubs that were left because they had no contact to the store, with the time of that.
+	unconfirmed map[string]time.Time
+}
+
+var _ Upstream = (*Follower)(nil)
+
+// FollowerOption sets a property of a Follower.
+type FollowerOption func(*Follower)
+
+// WithFollowerLogger sets the logger of the hubs that are followed.
+func WithFollowerLogger(l logrus.FieldLogger) FollowerOption {
+	return func(f *Follower) { f.logger = l }
+}
+
+// OnUpdate sets the function that takes the news, loads and confirmations of updates. It must be called before Run, and the
+// function must not block.
+func (f *Follower) OnUpdate(h func(u *mangomessage.FollowUpdate)) { f.onUpdate = h }
+
+// NewFollower returns a follower of the daemon self that does not follow any hub yet.
+func NewFollower(self mangostate.Member, dialer Dialer, state State, mirror *Mirror, seats Holder, opts ...FollowerOption) *Follower {
+	f := &Follower{
+		self: self, dialer: dialer, state: state, mirror: mirror, seats: seats, logger: logrus.StandardLogger(),
+		onUpdate: func(*mangomessage.FollowUpdate) {}, link: Link{Since: time.Now()},
+		rotation: minRotation, unconfirmed: map[string]time.Time{},
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Link implements Upstream.
+func (f *Follower) Link() Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.link
+}
+
+// Hub returns the daemon to which this one sends what it announces: the hub that it follows, if its stream is not silent.
+func (f *Follower) Hub() (mangostate.Member, bool) {
+	link := f.Link()
+	if !link.Healthy(time.Now()) || link.StoreOnly {
+		return mangostate.Member{}, false
+	}
+	for _, m := range f.state.View().Members {
+		if m.Name == link.Hub {
+			return m, true
+		}
+	}
+	return mangostate.Member{}, false
+}
+
+// IsHub reports whether this daemon acts as the hub of its data centre: it holds a seat and does not follow another hub of
+// the data centre.
+func (f *Follower) IsHub() bool {
+	if _, seated := f.seats.Held(); !seated {
+		return false
+	}
+	_, follows := f.Hub()
+	return !follows
+}
+
+// IsPrimary reports whether this daemon reads the store on behalf of all, which the others expect of it.
+func (f *Follower) IsPrimary() bool {
+	seat, seated := f.seats.Held()
+	return seated && seat == 0 && primaryHub(f.state.View().Members).Name == f.self.Name
+}
+
+// Run follows a hub until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for _, hub := range f.candidates() {
+			if f.follow(ctx, hub) || ctx.Err() != nil {
+				break
+			}
+		}
+		if !sleep(ctx, retryInterval+rand.N(retryInterval)) {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// candidate is a hub that may be followed; storeOnly says that only the changes of the store are wanted from it.
+type candidate struct {
+	mangostate.Member
+	storeOnly bool
+}
+
+// candidates returns the hubs to follow, the best first.
+func (f *Follower) candidates() []candidate {
+	seat, seated := f.seats.Held()
+	reached, _ := f.mirror.Contact()
+	if reached && f.IsPrimary() {
+		return nil
+	}
+	list := hubsToFollow(f.self, seat, seated, f.state.View().Members)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Compare(f.unconfirmedRank(a.Name), f.unconfirmedRank(b.Name))
+	})
+	return list
+}
+
+// unconfirmedRank returns 1 for a hub that lately had no contact to the store, else 0. The caller holds f.mu.
+func (f *Follower) unconfirmedRank(hub string) int {
+	if time.Since(f.unconfirmed[hub]) < unconfirmedMemory {
+		return 1
+	}
+	return 0
+}
+
+// primaryHub returns the hub that reads the store on behalf of all: the first of those in a first seat.
+func primaryHub(hubs []mangostate.Member) mangostate.Member {
+	for _, m := range hubs {
+		if m.Seat == 0 {
+			return m
+		}
+	}
+	return mangostate.Member{}
+}
+
+// hubsToFollow returns the hubs that a daemon may follow, the best first. A daemon without a seat follows the hubs of its data
+// centre in the order of their seats, then those of other data centres, over which daemons spread by rendezvous hashing. A
+// hub follows the earlier seats of its data centre, then, for the changes of the store only, the primary hub; the primary hub
+// follows others only as a last resort.
+func hubsToFollow(self mangostate.Member, seat int, seated bool, hubs []mangostate.Member) []candidate {
+	primary := primaryHub(hubs)
+	var list []candidate
+	for _, m := range hubs {
+		local := m.DataCentre == self.DataCentre
+		if m.Name != self.Name && (!seated || !local || m.Seat < seat || primary.Name == self.Name) {
+			list = append(list, candidate{Member: m, storeOnly: seated && (!local || m.Seat > seat)})
+		}
+	}
+	rank := func(c candidate) int {
+		switch {
+		case c.DataCentre == self.DataCentre:
+			return c.Seat
+		case seated && c.Name == primary.Name:
+			return mangostate.SeatsPerDataCentre
+		default:
+			return mangostate.SeatsPerDataCentre + 1
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvousHash(self.Name, a.Name), rendezvousHash(self.Name, b.Name)))
+	})
+	return list
+}
+
+// rendezvousHash returns the hash by which a daemon ranks hubs.
+func rendezvousHash(daemon, hub string) uint64 { return xxhash.Sum64String(daemon + "\x00" + hub) }
+
+// follow follows a hub until its stream ends, is silent or is no longer wanted. It reports whether there was an update.
+func (f *Follower) follow(ctx context.Context, hub candidate) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(openTimeout, cancel)
+	defer watchdog.Stop()
+	stream, err := f.dialer.Follow(ctx, hub.Address, &mangomessage.FollowRequest{
+		From:  &mangomessage.Member{Name: f.self.Name, DataCentre: f.self.DataCentre, Address: f.self.Address},
+		After: f.mirror.Revision(), StoreOnly: hub.storeOnly,
+	})
+	if err != nil {
+		f.logger.WithFields(logrus.Fields{"event": "hub_unreached", "hub": hub.Name, "address": hub.Address}).WithError(err).
+			Warn("a hub could not be followed")
+		return false
+	}
+	defer stream.Close()
+	updates := 0
+	var begun []Item
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			f.endLink(hub, updates, err)
+			return updates > 0
+		}
+		watchdog.Reset(silenceLimit)
+		updates++
+		f.recordUpdate(hub, u)
+		if updates == 1 {
+			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision()}).
+				Info("this daemon follows a hub")
+		}
+		begun = f.apply(begun, u)
+		f.onUpdate(u)
+		if f.shouldLeave(hub) {
+			f.endLink(hub, updates, nil)
+			return true
+		}
+	}
+}
+
+// recordUpdate records the time and the confirmation of an update.
+func (f *Follower) recordUpdate(hub candidate, u *mangomessage.FollowUpdate) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link.Hub != hub.Name {
+		// Another hub without contact to the store ends no wait for that contact.
+		f.link = Link{Hub: hub.Name, Since: now, StoreOnly: hub.storeOnly, UnconfirmedAt: f.link.UnconfirmedAt}
+	}
+	f.link.UpdatedAt = now
+	f.link.ConfirmedAt = time.Time{}
+	if f.bringsContact(u) {
+		f.link.ConfirmedAt = now.Add(-time.Duration(u.GetConfirmedAgeMs()) * time.Millisecond)
+	}
+	switch {
+	case f.link.Confirmed(now):
+		f.link.UnconfirmedAt = time.Time{}
+		f.rotation = minRotation
+	case f.link.UnconfirmedAt.IsZero():
+		f.link.UnconfirmedAt = now
+	}
+}
+
+// apply writes the changes of an update to the mirror. begun has the items of earlier parts of the same update; apply returns
+// them with those of this part, or none after the last part.
+func (f *Follower) apply(begun []Item, u *mangomessage.FollowUpdate) []Item {
+	begun = append(begun, decodeItems(u.GetItems())...)
+	if u.GetMore() {
+		return begun
+	}
+	var backAt time.Time
+	if u.GetStoreBackMs() > 0 {
+		backAt = time.Now().Add(-time.Duration(u.GetStoreBackMs()) * time.Millisecond)
+	}
+	f.mirror.SetContact(f.bringsContact(u), backAt, u.GetPath()...)
+	if u.GetSnapshot() {
+		f.mirror.Load(begun, u.GetRevision())
+	} else {
+		f.mirror.Append(begun, u.GetRevision())
+	}
+	if f.bringsContact(u) {
+		f.mirror.Confirm(u.GetRevision(), time.Duration(u.GetConfirmedAgeMs())*time.Millisecond)
+	}
+	return nil
+}
+
+// bringsContact reports whether the hub that sent an update reaches the store without this daemon. Two hubs that follow each
+// other would otherwise each take the other's word for it.
+func (f *Follower) bringsContact(u *mangomessage.FollowUpdate) bool {
+	return !u.GetStoreLost() && !slices.Contains(u.GetPath(), f.self.Name)
+}
+
+// shouldLeave reports whether another hub is to be tried: the present one has had no contact to the store for a while, another
+// one has been better for a while, or the present one no longer fits what this daemon wants from it.
+func (f *Follower) shouldLeave(hub candidate) bool {
+	candidates := f.candidates()
+	i := slices.IndexFunc(candidates, func(c candidate) bool { return c.Name == hub.Name && c.storeOnly == hub.storeOnly })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	switch {
+	case !f.link.UnconfirmedAt.IsZero() && now.Sub(f.link.UnconfirmedAt) > f.rotation && len(candidates) > 1:
+		f.unconfirmed[hub.Name] = now
+		f.rotation = min(2*f.rotation, maxRotation)
+		return true
+	case i == 0, len(candidates) == 0 && !f.IsPrimary():
+		return false
+	default:
+		return now.Sub(f.link.Since) > settleTime
+	}
+}
+
+// endLink records that the stream of a hub has ended.
+func (f *Follower) endLink(hub candidate, updates int, err error) {
+	f.mu.Lock()
+	f.link = Link{Since: time.Now(), UnconfirmedAt: f.link.UnconfirmedAt}
+	f.mu.Unlock()
+	entry := f.logger.WithFields(logrus.Fields{"event": "hub_left", "hub": hub.Name, "address": hub.Address, "updates": updates})
+	if err != nil {
+		entry.WithError(err).Warn("the stream of a hub has ended")
+		return
+	}
+	entry.Info("this daemon leaves a hub for another source")
+}
--- /dev/null
+++ b/internal/mangohub/reader.go
@@ -0,0 +1,307 @@
+package mangohub
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangostate"
+)
+
+const (
+	// maxWatchWait is the longest time for which the store may hold a watch without changes.
+	maxWatchWait = 25 * time.Second
+	// minBatchPause is the pause after an answer with changes, so that the next answer batches the rest of a burst. A daemon
+	// that reads without a seat, because it hears from no hub, pauses for unseatedBatchPause, since many may do so at once.
+	minBatchPause      = 120 * time.Millisecond
+	unseatedBatchPause = 700 * time.Millisecond
+	// burstGap is the time without changes after which the next change starts a new burst, in which the pause of a hub
+	// grows to burstBatchPause.
+	burstGap        = 2 * time.Second
+	burstBatchPause = 250 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the growing pause after a failed call of a hub, and maxUnseatedRetryPause that of
+	// other daemons.
+	minRetryPause         = 100 * time.Millisecond
+	maxRetryPause         = 800 * time.Millisecond
+	maxUnseatedRetryPause = 8 * time.Second
+	// hubGrace is the time without a hub after which a daemon reads the store itself, plus a random time up to
+	// hubGraceJitter. A hub that has just taken its seat is found within it.
+	hubGrace       = 300 * time.Millisecond
+	hubGraceJitter = 300 * time.Millisecond
+	// unconfirmedGrace is the time after which a daemon whose hub has lost the store tries it itself, plus a random time up
+	// to unconfirmedJitter: the store may turn away only some of the daemons.
+	unconfirmedGrace  = 400 * time.Millisecond
+	unconfirmedJitter = 1000 * time.Millisecond
+	// deafTime is the time for which a hub reads the store itself after another one has lagged behind.
+	deafTime = 2 * time.Second
+	// roleCheckInterval is the time between two checks whether this daemon has to read the store.
+	roleCheckInterval = 50 * time.Millisecond
+)
+
+// Holder tells which seat this daemon holds.
+type Holder interface {
+	// Held returns the seat; ok is false if this daemon holds none.
+	Held() (seat int, ok bool)
+}
+
+// Upstream tells what this daemon hears from its hub.
+type Upstream interface {
+	// Link returns the state of the stream from the hub.
+	Link() Link
+	// IsPrimary reports whether the other hubs expect this daemon to read the store on their behalf.
+	IsPrimary() bool
+}
+
+// Reader reads the store into the mirror while that is this daemon's duty, or when it hears from no hub.
+type Reader struct {
+	store    Source
+	mirror   *Mirror
+	seats    Holder
+	upstream Upstream
+	logger   logrus.FieldLogger
+	// onContact is called when a call has reached the store.
+	onContact func()
+	// reading says that the last decision was to read, for the log.
+	reading bool
+	// grace and unconfirmed are the times to wait, drawn anew whenever the link changes.
+	grace, unconfirmed time.Duration
+	drawnFor           Link
+	// deafAt is when the user of the mirror last gave up waiting for a change that the store has.
+	deafAt time.Time
+}
+
+// ReaderOption sets a property of a Reader.
+type ReaderOption func(*Reader)
+
+// WithReaderLogger sets the logger of what is read by whom.
+func WithReaderLogger(l logrus.FieldLogger) ReaderOption { return func(r *Reader) { r.logger = l } }
+
+// WithContact sets the function that is called when a call has reached the store. It must not block.
+func WithContact(f func()) ReaderOption { return func(r *Reader) { r.onContact = f } }
+
+// NewReader returns a reader of a store.
+func NewReader(store Source, mirror *Mirror, seats Holder, upstream Upstream, opts ...ReaderOption) *Reader {
+	r := &Reader{store: store, mirror: mirror, seats: seats, upstream: upstream, logger: logrus.StandardLogger(), onContact: func() {}}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Run reads the store while needed, until the context ends.
+func (r *Reader) Run(ctx context.Context) error {
+	compacted, retryPause := false, minRetryPause
+	var lastChange time.Time
+	for ctx.Err() == nil {
+		if !r.awaitDuty(ctx) {
+			return ctx.Err()
+		}
+		snapshot := compacted || !r.mirror.Loaded()
+		items, revision, err, abandoned := r.read(ctx, snapshot, compacted)
+		if abandoned {
+			continue
+		}
+		now := time.Now()
+		var pause time.Duration
+		switch {
+		case err == nil && snapshot:
+			r.mirror.Load(items, revision)
+			retryPause = minRetryPause
+		case err == nil:
+			r.mirror.Append(items, revision)
+			retryPause = minRetryPause
+			if len(items) > 0 {
+				pause = r.batchPause(now.Sub(lastChange))
+				lastChange = now
+			}
+		case isCompacted(err):
+			// The next snapshot is a fresh one: an old one could end before the history that the store still has.
+		default:
+			pause, retryPause = retryPause/2+rand.N(retryPause), min(2*retryPause, r.maxRetryPause())
+		}
+		if err == nil && (!snapshot || compacted) {
+			r.mirror.Confirm(revision, 0)
+		}
+		compacted = isCompacted(err)
+		r.recordResult(err)
+		if pause > 0 && !sleep(ctx, pause) {
+			return ctx.Err()
+		}
+	}
+	return ctx.Err()
+}
+
+// RecordCall records whether a call that another component of this daemon made reached the store.
+func (r *Reader) RecordCall(err error) {
+	if err == nil {
+		r.mirror.SetContact(true, time.Time{})
+	} else if !r.upstream.Link().Confirmed(time.Now()) {
+		r.mirror.SetContact(false, time.Time{})
+	}
+}
+
+// recordResult records whether a call reached the store. While the hub reaches it, a failed call of this daemon is no loss.
+func (r *Reader) recordResult(err error) {
+	if isCompacted(err) {
+		err = nil
+	}
+	r.RecordCall(err)
+	if err == nil {
+		r.onContact()
+		return
+	}
+	r.logger.WithFields(logrus.Fields{"event": "store_call_failed", "revision": r.mirror.Revision()}).WithError(err).
+		Warn("the store could not be read")
+}
+
+// read makes one call. It reports abandoned if the call was cancelled because it was no longer needed or seemed deaf.
+func (r *Reader) read(ctx context.Context, snapshot, fresh bool) (items []Item, revision uint64, err error, abandoned bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done, cancelled := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		cancelled <- r.cancelWhenNeedless(done, cancel)
+	}()
+	if snapshot {
+		items, revision, err = r.store.Snapshot(ctx, fresh)
+	} else {
+		items, revision, err = r.store.Watch(ctx, r.mirror.Revision(), maxWatchWait)
+	}
+	close(done)
+	// An answer that arrived just before the cancellation is still used.
+	return items, revision, err, <-cancelled && err != nil
+}
+
+// cancelWhenNeedless calls cancel when the daemon no longer has to read the store, or when its user gave up on the watch. It
+// returns true if so, and false when done is closed.
+func (r *Reader) cancelWhenNeedless(done <-chan struct{}, cancel context.CancelFunc) bool {
+	select {
+	case <-r.mirror.restart:
+		// A restart that was asked for before this call.
+	default:
+	}
+	tick := time.NewTicker(roleCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return false
+		case <-r.mirror.restart:
+			cancel()
+			return true
+		case <-tick.C:
+			if !r.hasDuty(time.Now()) {
+				cancel()
+				return true
+			}
+		}
+	}
+}
+
+// awaitDuty waits until this daemon has to read the store; it returns false when the context ends.
+func (r *Reader) awaitDuty(ctx context.Context) bool {
+	for {
+		duty := r.hasDuty(time.Now())
+		if duty != r.reading {
+			r.reading = duty
+			seat, seated := r.seats.Held()
+			link := r.upstream.Link()
+			r.logger.WithFields(logrus.Fields{
+				"event": "store_reader", "reads": duty, "seated": seated, "seat": seat, "hub": link.Hub, "revision": r.mirror.Revision(),
+			}).Info("this daemon begins or ends to read the store itself")
+		}
+		if duty {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-r.mirror.restart:
+			r.deafAt = time.Now()
+		case <-time.After(roleCheckInterval):
+		}
+	}
+}
+
+// hasDuty reports whether this daemon has to read the store now.
+func (r *Reader) hasDuty(now time.Time) bool {
+	link := r.upstream.Link()
+	if link.Hub != r.drawnFor.Hub || !link.Since.Equal(r.drawnFor.Since) || r.grace == 0 {
+		r.drawnFor = link
+		r.grace, r.unconfirmed = hubGrace+rand.N(hubGraceJitter), unconfirmedGrace+rand.N(unconfirmedJitter)
+	}
+	_, seated := r.seats.Held()
+	return readsStore(duty{
+		loaded: r.mirror.Loaded(), seated: seated, primary: r.upstream.IsPrimary(), link: link, grace: r.grace, unconfirmed: r.unconfirmed,
+		deaf: now.Sub(r.deafAt) < deafTime,
+	}, now)
+}
+
+// duty is what decides whether a daemon reads the store itself.
+type duty struct {
+	// deaf says that the changes from the hub have just been found to lag behind those of the store.
+	deaf bool
+	// loaded says that the daemon has everything, seated that it holds a seat, and primary that it reads on behalf of all.
+	loaded, seated, primary bool
+	link                    Link
+	// grace and unconfirmed are the times that a daemon without a seat waits without a hub, and with one that has lost the
+	// store.
+	grace, unconfirmed time.Duration
+}
+
+// readsStore reports whether a daemon reads the store itself: always as the primary hub, and otherwise when it hears of no
+// changes in another way.
+func readsStore(d duty, now time.Time) bool {
+	switch {
+	case d.primary, d.seated && d.deaf, !d.loaded && !d.link.Healthy(now):
+		return true
+	case d.link.Confirmed(now):
+		return false
+	case d.seated:
+		return true
+	case d.link.Healthy(now):
+		return now.Sub(d.link.UnconfirmedAt) > d.unconfirmed
+	default:
+		return now.Sub(d.link.Since) > d.grace
+	}
+}
+
+// batchPause returns the pause after an answer with changes; since is the time since the previous such answer.
+func (r *Reader) batchPause(since time.Duration) time.Duration {
+	_, seated := r.seats.Held()
+	switch {
+	case !seated:
+		return unseatedBatchPause
+	case since >= burstGap:
+		return minBatchPause
+	default:
+		return burstBatchPause
+	}
+}
+
+func (r *Reader) maxRetryPause() time.Duration {
+	if _, seated := r.seats.Held(); seated {
+		return maxRetryPause
+	}
+	return maxUnseatedRetryPause
+}
+
+func isCompacted(err error) bool {
+	var e *mangostate.Error
+	return errors.As(err, &e) && e.Kind == mangostate.KindCompacted
+}
+
+// sleep waits for a duration; it reports false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/mangolayout/replicastate.go
+++ b/internal/mangolayout/replicastate.go
@@ -30,9 +30,8 @@
 			states = append(states, ReplicaState{Replica: r, Layers: r.Layers, Draining: true})
 			continue
 		}
-		requests, _ := p.health.InFlight(r.ID)
 		s := ReplicaState{
-			Replica: r, Layers: r.Layers, Movable: !p.health.Paused(i, now), Requests: requests, Slowness: p.health.Slowness(i, now),
+			Replica: r, Layers: r.Layers, Movable: !p.health.Paused(i, now), Requests: p.health.FleetLoad(r.ID, now).Requests, Slowness: p.health.Slowness(i, now),
 		}
 		if o, ok := p.pendingOrders[i]; ok {
 			switch {
--- a/internal/mangolease/leasedkey.go
+++ b/internal/mangolease/leasedkey.go
@@ -35,8 +35,10 @@
 const (
 	// checkInterval bounds the time between two checks of the key; a signal of Lookup.Changed starts one earlier.
 	checkInterval = 250 * time.Millisecond
-	// maxAcquireDelay bounds the random delay before a free key is taken, so that daemons do not all write at once.
+	// maxAcquireDelay bounds the default random delay before a free key is taken, so that daemons do not all write at once.
 	maxAcquireDelay = 120 * time.Millisecond
+	// ineligibleInterval is the time between two checks of a key that this daemon may not take.
+	ineligibleInterval = time.Second
 	// maxExpiredHold bounds how long the key still counts as held after the lease expired while the store is
 	// unreachable.
 	maxExpiredHold = 30 * time.Second
@@ -57,6 +59,12 @@
 	timeout  time.Duration
 	// storeUnreachable reports that neither this daemon nor any daemon that it hears from reaches the store.
 	storeUnreachable func() bool
+	// eligible reports whether this daemon may take the key, and acquireDelay returns the time for which a free key is left to
+	// others first.
+	eligible     func() bool
+	acquireDelay func() time.Duration
+	// renewShare is the share of the lifetime that is left when the lease is renewed.
+	renewShare float64
 
 	mu sync.Mutex
 	// lease is the id of the lease, and fence the version of the key that it was acquired with; lease is 0 while the key is
@@ -87,13 +95,25 @@
 // on the other side of a network partition takes it, replicas refuse the lower fencing number.
 func WithStoreUnreachable(f func() bool) Option { return func(k *LeasedKey) { k.storeUnreachable = f } }
 
+// WithEligible sets the function that reports whether this daemon may take the key. A daemon that holds it keeps it.
+func WithEligible(f func() bool) Option { return func(k *LeasedKey) { k.eligible = f } }
+
+// WithAcquireDelay sets the function that returns the time for which a free key is left to others.
+func WithAcquireDelay(f func() time.Duration) Option {
+	return func(k *LeasedKey) { k.acquireDelay = f }
+}
+
+// WithRenewShare sets the share of the lifetime, from 0 to 1, that is left when the lease is renewed; the default is 3/4.
+func WithRenewShare(share float64) Option { return func(k *LeasedKey) { k.renewShare = share } }
+
 // New returns a leased key that is not held yet. The owner must be unique among all processes, including earlier ones of the
 // same daemon.
 func New(store Store, key, owner string, lookup Lookup, opts ...Option) *LeasedKey {
 	k := &LeasedKey{
 		store: store, key: key, owner: owner, lookup: lookup, observer: func(bool, uint64, error) {},
-		storeUnreachable: func() bool { return false },
-		lifetime:         2 * time.Second, timeout: 500 * time.Millisecond,
+		storeUnreachable: func() bool { return false }, eligible: func() bool { return true },
+		acquireDelay: func() time.Duration { return rand.N(maxAcquireDelay) }, renewShare: 0.75,
+		lifetime: 2 * time.Second, timeout: 500 * time.Millisecond,
 	}
 	for _, o := range opts {
 		o(k)
@@ -144,6 +164,9 @@
 		} else {
 			backoff = minBackoff
 			k.notify(nil)
+			if _, holds := k.Holds(); !holds {
+				wait = k.idleInterval()
+			}
 		}
 		if !k.waitForChange(ctx, wait) {
 			return ctx.Err()
@@ -151,6 +174,15 @@
 	}
 }
 
+// idleInterval returns the time until the next check of a key that this daemon does not hold. A free key that it may take is
+// checked soon.
+func (k *LeasedKey) idleInterval() time.Duration {
+	if holder, known := k.lookup.Holder(k.key); known && holder == "" && k.eligible() {
+		return checkInterval
+	}
+	return ineligibleInterval
+}
+
 // waitForChange waits for d, but no longer than until Lookup signals a change; it reports false if the context has ended.
 func (k *LeasedKey) waitForChange(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -164,30 +196,30 @@
 	return true
 }
 
-// renewOrAcquire renews the lease once a quarter of its lifetime has passed or, without a lease, acquires the key if it is
+// renewOrAcquire renews the lease once only renewShare of its lifetime is left or, without a lease, acquires the key if it is
 // free.
 func (k *LeasedKey) renewOrAcquire(ctx context.Context) error {
 	k.mu.Lock()
 	lease, expiresAt := k.lease, k.expiresAt
 	k.mu.Unlock()
 	if lease != 0 {
-		if expiresAt-sinceBoot() > k.lifetime*3/4 {
+		if expiresAt-sinceBoot() > time.Duration(k.renewShare*float64(k.lifetime)) {
 			return nil
 		}
 		return k.renew(ctx, lease)
 	}
 	holder, known := k.lookup.Holder(k.key)
-	if !known || holder != "" {
+	if !known || holder != "" || !k.eligible() {
 		return nil
 	}
-	timer := time.NewTimer(rand.N(maxAcquireDelay))
+	timer := time.NewTimer(k.acquireDelay())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-timer.C:
 	}
-	if holder, _ := k.lookup.Holder(k.key); holder != "" {
+	if holder, _ := k.lookup.Holder(k.key); holder != "" || !k.eligible() {
 		return nil
 	}
 	return k.acquire(ctx)
--- a/internal/mangoliveness/monitor.go
+++ b/internal/mangoliveness/monitor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -118,7 +119,7 @@
 			continue
 		}
 		for _, r := range v.Fleet.ByService(name) {
-			if r.Layers.Len() > 0 && m.isAssigned(r.ID, v.Members) {
+			if r.Layers.Len() > 0 && m.isAssigned(r, v.Members) {
 				assigned[r.Incarnation()] = r
 			}
 		}
@@ -126,16 +127,22 @@
 	return assigned
 }
 
-// isAssigned reports whether this daemon has to monitor a replica: it is among the monitorsPerReplica daemons whose
-// rendezvous hashes with the replica are the lowest.
-func (m *Monitor) isAssigned(replica string, members []mangostate.Member) bool {
-	own, lower := rendezvousHash(m.self.Name, replica), 0
-	for _, o := range members {
-		if o.Name != m.self.Name && rendezvousHash(o.Name, replica) < own {
+// isAssigned reports whether this daemon has to monitor a replica: it is a hub, and among the monitorsPerReplica hubs of the
+// replica's data centre whose rendezvous hashes with the replica are the lowest. The hubs of other data centres monitor a
+// replica whose data centre has none.
+func (m *Monitor) isAssigned(replica *mangoreplica.Replica, hubs []mangostate.Member) bool {
+	local := slices.ContainsFunc(hubs, func(o mangostate.Member) bool { return o.DataCentre == replica.DataCentre })
+	own, lower, isHub := rendezvousHash(m.self.Name, replica.ID), 0, false
+	for _, o := range hubs {
+		switch {
+		case local && o.DataCentre != replica.DataCentre:
+		case o.Name == m.self.Name:
+			isHub = true
+		case rendezvousHash(o.Name, replica.ID) < own:
 			lower++
 		}
 	}
-	return lower < monitorsPerReplica
+	return isHub && lower < monitorsPerReplica
 }
 
 // rendezvousHash returns the hash by which daemons are ranked for a replica.
--- a/internal/mangopeer/server.go
+++ b/internal/mangopeer/server.go
@@ -34,6 +34,8 @@
 	Exchange(ctx context.Context, request *mangomessage.ExchangeRequest) (*mangomessage.ExchangeReply, error)
 	Fetch(ctx context.Context, request *mangomessage.FetchRequest) (*mangomessage.FetchReply, error)
 	Status(ctx context.Context, request *mangomessage.StatusRequest) (*mangomessage.StatusReply, error)
+	// Follow sends updates until the context of the stream ends.
+	Follow(request *mangomessage.FollowRequest, stream mangomessage.DRPCPeer_FollowStream) error
 }
 
 var _ mangomessage.DRPCPeerServer = Handler(nil)
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -42,8 +42,8 @@
 	FailureRate(r mangoreplica.Incarnation, now time.Time) float64
 	// Slowness returns the step time of the replica relative to the usual one; 1 is normal.
 	Slowness(r mangoreplica.Incarnation, now time.Time) float64
-	// InFlight returns the requests, and their tokens, that this daemon has in flight on the replica.
-	InFlight(id string) (requests int, tokens float64)
+	// FleetLoad returns the load that all daemons put on the replica, as far as it is known.
+	FleetLoad(id string, now time.Time) mangoreplica.Load
 }
 
 // View is the state of one service that Choose selects a chain from.
@@ -53,9 +53,7 @@
 	Status   ReplicaStatus
 	// LocalDataCentre is the data centre of this daemon; chains in it are preferred.
 	LocalDataCentre string
-	// Daemons is the number of daemons that send requests to the same replicas, this one included.
-	Daemons int
-	Now     time.Time
+	Now             time.Time
 }
 
 // Request has the properties of a request that Choose takes into account.
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -165,8 +165,7 @@
 	}
 }
 
-// estimateCost estimates the time of one token in one layer of a replica and the pressure on its KV cache, assuming that
-// every other daemon has as many tokens in flight there as this one.
+// estimateCost estimates the time of one token in one layer of a replica and the pressure on its KV cache.
 func estimateCost(view View, request Request, r *mangoreplica.Replica) candidate {
 	e := view.Engine
 	stepPerLayer := e.StepMS * float64(time.Millisecond) / float64(e.Layers)
@@ -175,8 +174,7 @@
 	}
 	pressure := 0.0
 	if capacity := e.TokenCapacity(r.Accelerator, r.Layers.Len()); capacity > 0 {
-		_, tokens := view.Status.InFlight(r.ID)
-		pressure = (tokens*float64(max(view.Daemons, 1)) + request.Tokens) / capacity
+		pressure = (view.Status.FleetLoad(r.ID, view.Now).Tokens + request.Tokens) / capacity
 	}
 	// Slowness is squared because the queue at a slow replica grows faster than its step time.
 	slowness := view.Status.Slowness(r.Incarnation(), view.Now)
--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -170,9 +170,15 @@
 	if r.health.MarkReachable(replica.Incarnation(), time.Now()) {
 		r.logger.WithFields(logrus.Fields{"event": "replica_back", "replica": replica.ID, "address": replica.Address, "request": requestID}).
 			Info("avoided replica accepts connections and is used again")
+		now := time.Now()
+		r.peers.AnnounceOutage(mangoreplica.Outage{Replica: replica.Incarnation(), Cause: mangoreplica.CauseReachable, At: now, Until: now.Add(holdLost)})
 	}
 }
 
+// MarkLost makes the requests in flight on a replica look again whether it is lost, after a hub has found that it is. It
+// never blocks.
+func (r *Relay) MarkLost(replica *mangoreplica.Replica) { r.inFlight.wakeAll(replica.Incarnation()) }
+
 // CheckReplica checks in the background a replica that another part of this daemon or another daemon found lost. It never
 // blocks.
 func (r *Relay) CheckReplica(replica *mangoreplica.Replica) {
--- a/internal/mangorelay/retry.go
+++ b/internal/mangorelay/retry.go
@@ -153,7 +153,7 @@
 		return "TooManyAttempts"
 	case len(c.mayHaveRunOn) > 0 && c.isCondemnedOrHeld():
 		return outcomeCrashesUpstreams
-	case c.sendsArrived > 0 && !c.relay.budget.Take(c.serviceName, len(c.view.Members), c.reservedBudgetShare(), time.Now()):
+	case c.sendsArrived > 0 && !c.relay.budget.Take(c.serviceName, c.relay.health.Daemons(), c.reservedBudgetShare(), time.Now()):
 		return outcomeBudgetSpent
 	}
 	if c.sendsArrived > 0 {
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -48,7 +48,7 @@
 	if c.route.Pipelined && service.Split() {
 		return c.chooseChain(mangopipeline.View{
 			Replicas: view.Fleet.ByService(service.Name), Engine: service.Engine, Status: c.relay.health, LocalDataCentre: c.relay.localDataCentre,
-			Daemons: len(view.Members), Now: time.Now(),
+			Now: time.Now(),
 		})
 	}
 	return c.chooseReplica(view.Fleet.ByService(c.serviceName))
--- /dev/null
+++ b/internal/mangoreplica/load.go
@@ -0,0 +1,77 @@
+package mangoreplica
+
+import "time"
+
+// maxFleetLoadAge is the age above which the load of other daemons is no longer used. It comes several times a second.
+const maxFleetLoadAge = 2 * time.Second
+
+// Load is the load that one or several daemons put on a replica.
+type Load struct {
+	// Requests is the number of requests in flight, and Tokens the sum of their tokens.
+	Requests int
+	Tokens   float64
+}
+
+// With returns the load with another one added.
+func (l Load) With(o Load) Load {
+	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens}
+}
+
+// without returns the load with another one taken away, but nothing below 0.
+func (l Load) without(o Load) Load {
+	return Load{Requests: max(l.Requests-o.Requests, 0), Tokens: max(l.Tokens-o.Tokens, 0)}
+}
+
+// OwnLoads returns the load that this daemon puts on replicas, by the id of the replica.
+func (h *HealthTracker) OwnLoads() map[string]Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own := map[string]Load{}
+	for id, l := range h.loads {
+		if l.requests > 0 {
+			own[id] = Load{Requests: l.requests, Tokens: l.tokens}
+		}
+	}
+	return own
+}
+
+// SetFleetLoad records the load that a number of daemons put on replicas at a time. reported is the part of it that this
+// daemon had reported, by which its own load is kept apart.
+func (h *HealthTracker) SetFleetLoad(total, reported map[string]Load, daemons int, at time.Time) {
+	others := make(map[string]Load, len(total))
+	for id, l := range total {
+		if rest := l.without(reported[id]); rest.Requests > 0 {
+			others[id] = rest
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.others, h.othersAt, h.daemons = others, at, daemons
+}
+
+// Daemons returns the number of live daemons, as last known; 0 if it never was.
+func (h *HealthTracker) Daemons() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.daemons
+}
+
+// FleetLoad returns the load that all daemons put on a replica: that of this daemon now, and that of the others as last
+// known. If nothing recent is known of the others, each is assumed to put as much load there as this one.
+func (h *HealthTracker) FleetLoad(id string, now time.Time) Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fleetLoad(id, now)
+}
+
+func (h *HealthTracker) fleetLoad(id string, now time.Time) Load {
+	var own Load
+	if l := h.loads[id]; l != nil {
+		own = Load{Requests: l.requests, Tokens: l.tokens}
+	}
+	if now.Sub(h.othersAt) <= maxFleetLoadAge {
+		return own.With(h.others[id])
+	}
+	n := max(h.daemons, 1)
+	return Load{Requests: own.Requests * n, Tokens: own.Tokens * float64(n)}
+}
--- a/internal/mangoreplica/tracker.go
+++ b/internal/mangoreplica/tracker.go
@@ -27,6 +27,8 @@
 	CauseLeaving Cause = "Leaving"
 	// CauseStopping means that the replica said in an answer that it is about to stop, which it does not take back.
 	CauseStopping Cause = "Stopping"
+	// CauseReachable is no cause of an outage: it ends one of the causes for which a connection is the proof.
+	CauseReachable Cause = "Reachable"
 	// CauseFaulty means that the replica answered with a failure or with an invalid answer.
 	CauseFaulty Cause = "Faulty"
 )
@@ -76,6 +78,11 @@
 	// leavingSince holds the replicas that said that they are leaving, and pausedUntil those that want no requests for a time.
 	leavingSince map[Incarnation]time.Time
 	pausedUntil  map[Incarnation]time.Time
+	// others is the load that other daemons put on replicas, by the id of the replica, as of othersAt.
+	others   map[string]Load
+	othersAt time.Time
+	// daemons is the number of live daemons; 0 if it is not known.
+	daemons int
 }
 
 // NewHealthTracker returns a tracker without observations.
@@ -243,33 +250,19 @@
 	l.reportedShare, l.reportedAt = float64(busy)/float64(slots), now
 }
 
-// InFlight returns the requests that this daemon has in flight on a replica, and the sum of their tokens.
-func (h *HealthTracker) InFlight(id string) (requests int, tokens float64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if l := h.loads[id]; l != nil {
-		return l.requests, l.tokens
-	}
-	return 0, 0
-}
-
 // maxLoadReportAge is the age above which a reported load is ignored, as it says nothing about the present one.
 const maxLoadReportAge = 500 * time.Millisecond
 
 // Utilisation returns the share of a replica's slots in use: the reported share while it is fresh, but at least the share
-// that the requests of this daemon take.
+// that the requests of all daemons take, as far as they are known.
 func (h *HealthTracker) Utilisation(id string, slots int, now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.loads[id]
-	if l == nil {
-		return 0
-	}
-	own := float64(l.requests) / float64(max(slots, 1))
-	if now.Sub(l.reportedAt) > maxLoadReportAge {
-		return own
+	share := float64(h.fleetLoad(id, now).Requests) / float64(max(slots, 1))
+	if l := h.loads[id]; l != nil && now.Sub(l.reportedAt) <= maxLoadReportAge {
+		return max(share, l.reportedShare)
 	}
-	return max(own, l.reportedShare)
+	return share
 }
 
 // Prune removes what is known of replicas and incarnations that are no longer in the fleet.
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -17,15 +17,8 @@
 	maxWatchWait = 10 * time.Second
 	// maxWatchLag is the time within which the watch must deliver changes that another call has shown to exist. After it the
 	// watch is cancelled and started again: its connection may be dead, or the store may have dropped it.
-	maxWatchLag = 300 * time.Millisecond
-	// minBatchPause is the pause after an answer with changes, so that the next answer batches the rest of a burst. Each
-	// answer costs the store one call per daemon, so within a burst the pause grows in proportion to the number of daemons
-	// beyond daemonsPerBatchPause, up to maxBatchPause. That limit lets a configuration take effect within 2 s.
-	minBatchPause        = 120 * time.Millisecond
-	daemonsPerBatchPause = 8
-	maxBatchPause        = 800 * time.Millisecond
-	// burstGap is the time without changes after which the next change starts a new burst.
-	burstGap = 2 * time.Second
+	// It is above the pause that a reader of the store makes in a burst of changes.
+	maxWatchLag = 350 * time.Millisecond
 	// recoveryGrace is the time that replicas have to renew lapsed entries after the store has become reachable again.
 	recoveryGrace = 2200 * time.Millisecond
 	// reportQueueSize bounds the layer reports, and the orders, that wait for Run.
@@ -225,7 +218,6 @@
 // snapshot when the store no longer has the history: changes made before a restore of the store are in no history.
 func (c *Controller) readFeed(ctx context.Context, answers chan<- answer) {
 	retryPause, needSnapshot, revision := minRetryPause, true, uint64(0)
-	var lastChange time.Time
 	for ctx.Err() == nil {
 		a := answer{snapshot: needSnapshot}
 		restarted := false
@@ -234,21 +226,14 @@
 		} else {
 			a, restarted = c.watch(ctx, revision)
 		}
-		now := time.Now()
-		wait := batchPause(len(c.View().Members), now.Sub(lastChange))
-		if len(a.changes) > 0 {
-			lastChange = now
-		}
+		var wait time.Duration
 		switch {
 		case restarted:
 			continue
 		case a.err == nil:
 			needSnapshot, revision, retryPause = false, max(revision, a.revision), minRetryPause
-			if len(a.changes) == 0 {
-				wait = 0
-			}
 		case isCompacted(a.err):
-			needSnapshot, wait = true, 0
+			needSnapshot = true
 		default:
 			// The watch is retried from the same revision; only a compacted history needs a snapshot.
 			wait, retryPause = retryPause/2+rand.N(retryPause), min(2*retryPause, maxRetryPause)
@@ -264,14 +249,6 @@
 	}
 }
 
-// batchPause returns the pause after an answer with changes; since is the time since the previous such answer.
-func batchPause(daemons int, since time.Duration) time.Duration {
-	if since >= burstGap {
-		return minBatchPause
-	}
-	return max(minBatchPause, min(minBatchPause*time.Duration(daemons)/daemonsPerBatchPause, maxBatchPause))
-}
-
 // watch waits for changes after a revision; restarted reports that it was cancelled by requestWatchRestart.
 func (c *Controller) watch(ctx context.Context, revision uint64) (a answer, restarted bool) {
 	select {
--- a/internal/mangostate/poller.go
+++ b/internal/mangostate/poller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 )
 
@@ -17,9 +16,6 @@
 	// random time up to pollJitter. The first daemon to poll tells the others, so that they need not.
 	minPollDelay = 900 * time.Millisecond
 	pollJitter   = 500 * time.Millisecond
-	// storeDownAfter is the time after which a store that neither this daemon nor a peer has reached counts as down. Daemons
-	// that reach the store tell each other about once a second.
-	storeDownAfter = 1900 * time.Millisecond
 	// pollTimeout bounds one poll.
 	pollTimeout = 600 * time.Millisecond
 )
@@ -29,21 +25,39 @@
 type Poller struct {
 	controller    *Controller
 	store         RevisionReader
+	contact       *Contact
 	announce      func(revision uint64)
 	peerConfirmed chan struct{}
-	// lastSeen is the time at which this daemon or a peer last reached the store, in nanoseconds since start.
-	lastSeen atomic.Int64
-	start    time.Time
+	// polls reports whether this daemon polls at all, and onResult takes the error of each poll.
+	polls    func() bool
+	onResult func(err error)
 }
 
+// PollerOption sets a property of a Poller.
+type PollerOption func(*Poller)
+
+// WithPolls sets the function that reports whether this daemon polls; the default is that it does.
+func WithPolls(f func() bool) PollerOption { return func(p *Poller) { p.polls = f } }
+
+// WithPollResult sets the function that takes the error of each poll, nil if it reached the store. The default reports it to
+// the controller.
+func WithPollResult(f func(err error)) PollerOption { return func(p *Poller) { p.onResult = f } }
+
 // NewPoller returns a poller; announce sends the revision to the other daemons and must not block.
-func NewPoller(controller *Controller, store RevisionReader, announce func(revision uint64)) *Poller {
-	return &Poller{controller: controller, store: store, announce: announce, peerConfirmed: make(chan struct{}, 1), start: time.Now()}
+func NewPoller(controller *Controller, store RevisionReader, contact *Contact, announce func(revision uint64), opts ...PollerOption) *Poller {
+	p := &Poller{
+		controller: controller, store: store, contact: contact, announce: announce, peerConfirmed: make(chan struct{}, 1),
+		polls: func() bool { return true }, onResult: func(err error) { controller.ReportReachable(err == nil) },
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // RecordPeerRevision takes a revision of the store that another daemon has just read. It never blocks.
 func (p *Poller) RecordPeerRevision(revision uint64) {
-	p.lastSeen.Store(int64(time.Since(p.start)))
+	p.contact.Record(0)
 	p.controller.ReportRevision(revision)
 	if !p.controller.View().Reachable {
 		// The peer's success does not show that this daemon reaches the store again, so it must poll itself.
@@ -68,6 +82,9 @@
 			continue
 		case <-timer.C:
 		}
+		if !p.polls() {
+			continue
+		}
 		p.poll(ctx)
 	}
 }
@@ -77,16 +94,11 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	revision, err := p.store.Revision(ctx)
-	p.controller.ReportReachable(err == nil)
+	p.onResult(err)
 	if err != nil {
 		return
 	}
-	p.lastSeen.Store(int64(time.Since(p.start)))
+	p.contact.Record(0)
 	p.controller.ReportRevision(revision)
 	p.announce(revision)
 }
-
-// StoreDown reports whether neither this daemon nor any peer that it hears from has reached the store lately.
-func (p *Poller) StoreDown() bool {
-	return time.Since(p.start)-time.Duration(p.lastSeen.Load()) > storeDownAfter
-}
--- a/internal/mangostate/view.go
+++ b/internal/mangostate/view.go
@@ -1,6 +1,11 @@
 package mangostate
 
 import (
+	"cmp"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -8,28 +13,41 @@
 	"mangopath.org/mangopath/internal/mangoroute"
 )
 
-// memberPrefix is the prefix of the keys under which daemons announce themselves.
-const memberPrefix = "mangopath/member/"
+// SeatsPerDataCentre is the number of hubs of a data centre: two, since one may freeze, end or be cut off.
+const SeatsPerDataCentre = 2
+
+// seatPrefix is the prefix of the keys of the hubs' seats. It is followed by the data centre, escaped, and the seat.
+const seatPrefix = "mangopath/hub/"
 
 // PlacementKey is the key that the daemon which places layers holds by a lease.
 const PlacementKey = "mangopath/placement"
 
-// Member is a live daemon that has announced itself in the store.
+// Member is a hub: a daemon that holds a seat of its data centre.
 type Member struct {
-	Name string
+	Name       string
+	DataCentre string
 	// Address is the one at which the daemon listens for other daemons.
 	Address string
+	// Seat is the number of its seat, from 0.
+	Seat int
 }
 
-// MemberKey returns the key under which a daemon announces itself; boot is an id that differs for each start.
-func MemberKey(name, boot string) string { return memberPrefix + name + "/" + boot }
+// SeatKey returns the key of a seat of a data centre.
+func SeatKey(dataCentre string, seat int) string {
+	return seatPrefix + url.PathEscape(dataCentre) + "/" + strconv.Itoa(seat)
+}
+
+// SeatValue returns the value of a seat's key that names its holder; boot is an id that differs for each start of a daemon.
+func SeatValue(holder Member, boot string) string {
+	return holder.Name + "/" + boot + " " + holder.Address
+}
 
 // View is an immutable snapshot of what the daemon knows from the store.
 type View struct {
 	// Table is nil until the first configuration has arrived.
 	Table *mangoroute.Table
 	Fleet *mangoreplica.Fleet
-	// Members are the live daemons including this one, each name once, in no particular order.
+	// Members are the hubs, which may include this daemon, ordered by data centre and seat.
 	Members []Member
 	// Synced reports that the store has answered at least once.
 	Synced bool
@@ -49,22 +67,33 @@
 // is false until the store has answered.
 func (v *View) Holder(key string) (string, bool) { return v.keys[key], v.Synced }
 
-// membersFromKeys returns the daemons that are announced by keys with memberPrefix.
+// membersFromKeys returns the hubs that hold seats.
 func membersFromKeys(keys map[string]string) []Member {
 	var members []Member
-	seen := map[string]bool{}
-	for k, address := range keys {
-		rest, ok := strings.CutPrefix(k, memberPrefix)
-		if !ok {
-			continue
-		}
-		name, _, _ := strings.Cut(rest, "/")
-		// A restarted daemon is announced twice until the lease of its previous start expires.
-		if seen[name] {
-			continue
+	for k, value := range keys {
+		if m, ok := parseSeat(k, value); ok {
+			members = append(members, m)
 		}
-		seen[name] = true
-		members = append(members, Member{Name: name, Address: address})
 	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Seat, b.Seat))
+	})
 	return members
 }
+
+// parseSeat returns the holder of a seat from its key and value, or false if they are not those of a seat.
+func parseSeat(key, value string) (Member, bool) {
+	rest, ok := strings.CutPrefix(key, seatPrefix)
+	if !ok {
+		return Member{}, false
+	}
+	escaped, number, _ := strings.Cut(rest, "/")
+	dataCentre, err := url.PathUnescape(escaped)
+	seat, seatErr := strconv.Atoi(number)
+	owner, address, found := strings.Cut(value, " ")
+	name, _, _ := strings.Cut(owner, "/")
+	if _, addressErr := netip.ParseAddrPort(address); err != nil || seatErr != nil || addressErr != nil || !found || name == "" {
+		return Member{}, false
+	}
+	return Member{Name: name, DataCentre: dataCentre, Address: address, Seat: seat}, true
+}
--- a/test/capacity_peers_test.go
+++ b/test/capacity_peers_test.go
@@ -31,6 +31,7 @@
 // simulatedPeer answers the requests that reach one of the simulated entry hosts.
 type simulatedPeer struct {
 	*simulatedPeers
+	mangopeer.NoHub
 	member *mangomessage.Member
 }
 
