Keep the own contact to the store apart from that of the hub

The contact came and went with each update, each change of it was told before any change of the store, so that daemons got neither the next configuration nor the removal of a leaving replica, whose entry was kept as if the store were away.

Change: the mirror keeps the own contact and that of the hub apart; a success of either counts. A loss is told once before changes of the store and never holds them back.

TestChangesPassWhileContactFlaps and three rows of TestMirrorTellsOfLoss; the first failed with the order before.

--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -320,7 +320,7 @@
 	if u.GetStoreBackMs() > 0 {
 		backAt = time.Now().Add(-time.Duration(u.GetStoreBackMs()) * time.Millisecond)
 	}
-	f.mirror.SetContact(f.bringsContact(u), backAt, u.GetPath()...)
+	f.mirror.SetHubContact(f.bringsContact(u), backAt, u.GetPath())
 	if u.GetSnapshot() {
 		f.mirror.Load(begun, u.GetRevision())
 	} else {
@@ -363,6 +363,7 @@
 	f.mu.Lock()
 	f.link = Link{Since: time.Now(), UnconfirmedAt: f.link.UnconfirmedAt}
 	f.mu.Unlock()
+	f.mirror.EndHubContact()
 	entry := f.logger.WithFields(logrus.Fields{"event": "hub_left", "hub": hub.Name, "address": hub.Address, "updates": updates})
 	if err != nil {
 		entry.WithError(err).Warn("the stream of a hub has ended")
--- a/internal/mangohub/hub_test.go
+++ b/internal/mangohub/hub_test.go
@@ -236,16 +236,29 @@
 		// want is what the next watches return: a loss, an answer, or nothing new.
 		want []string
 	}{
-		{"in contact", func(m *Mirror) { m.SetContact(true, time.Time{}) }, []string{"nothing"}},
-		{"lost", func(m *Mirror) { m.SetContact(false, time.Time{}) }, []string{"loss", "loss"}},
+		{"in contact", func(m *Mirror) { m.SetOwnContact(true) }, []string{"nothing"}},
+		{"lost", func(m *Mirror) { m.SetOwnContact(false) }, []string{"loss", "loss"}},
 		{"lost and back", func(m *Mirror) {
-			m.SetContact(false, time.Time{})
-			m.SetContact(true, time.Time{})
+			m.SetOwnContact(false)
+			m.SetOwnContact(true)
 		}, []string{"loss", "answer", "nothing"}},
-		{"the hub was without the store", func(m *Mirror) { m.SetContact(true, back) }, []string{"loss", "answer", "nothing"}},
+		{"the hub was without the store", func(m *Mirror) { m.SetHubContact(true, back, nil) }, []string{"loss", "answer", "nothing"}},
+		{"the hub has lost it, this daemon has not", func(m *Mirror) {
+			m.SetOwnContact(true)
+			m.SetHubContact(false, time.Time{}, nil)
+		}, []string{"nothing"}},
+		{"this daemon has lost it, the hub has not", func(m *Mirror) {
+			m.SetHubContact(true, time.Time{}, nil)
+			m.SetOwnContact(false)
+		}, []string{"nothing"}},
+		{"this daemon has lost it, and the hub", func(m *Mirror) {
+			m.SetHubContact(true, time.Time{}, nil)
+			m.SetOwnContact(false)
+			m.EndHubContact()
+		}, []string{"loss", "loss"}},
 		{"the hub says so again", func(m *Mirror) {
-			m.SetContact(true, back)
-			m.SetContact(true, back.Add(20*time.Millisecond))
+			m.SetHubContact(true, back, nil)
+			m.SetHubContact(true, back.Add(20*time.Millisecond), nil)
 		}, []string{"loss", "answer", "nothing"}},
 	}
 	for _, tt := range tests {
@@ -270,6 +283,27 @@
 	}
 }
 
+// Guards against changes that a daemon never gets because the contact to the store comes and goes faster than it asks.
+func TestChangesPassWhileContactFlaps(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	m.Load(nil, 1)
+	after := uint64(1)
+	for revision := uint64(2); revision < 10; revision++ {
+		m.Append([]Item{{Key: "k", Revision: revision}}, revision)
+		// Each change takes two calls at most: one that tells of a loss, and one that brings it.
+		for call := 0; after < revision; call++ {
+			is.True(call < 2)
+			m.SetOwnContact(false)
+			m.SetOwnContact(true)
+			m.SetOwnContact(false)
+			if _, next, err := m.Watch(t.Context(), after, time.Second); err == nil {
+				after = next
+			}
+		}
+	}
+}
+
 // Guards against a load of the fleet that counts daemons twice or keeps those that have ended.
 func TestLoadTable(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/mangohub/mirror.go
+++ b/internal/mangohub/mirror.go
@@ -19,6 +19,22 @@
 	sameReturn = 500 * time.Millisecond
 )
 
+// contact is what is known of the contact to the store on one way.
+type contact int
+
+const (
+	contactUnknown contact = iota
+	contactMade
+	contactFailed
+)
+
+func contactOf(reached bool) contact {
+	if reached {
+		return contactMade
+	}
+	return contactFailed
+}
+
 // Mirror is a daemon's copy of the store, with its latest changes. It is safe for concurrent use.
 type Mirror struct {
 	mu    sync.Mutex
@@ -32,8 +48,10 @@
 	// lost says that neither this daemon nor its hub reaches the store, and backAt when that last ended.
 	lost   bool
 	backAt time.Time
-	// path has the daemons through which the contact to the store goes; empty if this daemon reaches it itself.
-	path []string
+	// own is whether the last call of this daemon reached the store, and hub whether its hub does, through the daemons of
+	// hubPath.
+	own, hub contact
+	hubPath  []string
 	// confirmedAt is the latest time at which the mirror is known to have had all changes of the store.
 	confirmedAt time.Time
 	// lossDue says that the user of the mirror has to be told of a loss of the store, also if it is over, and returnDue that
@@ -185,15 +203,48 @@
 func (m *Mirror) Path() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.path
+	if m.own == contactMade {
+		return nil
+	}
+	return m.hubPath
+}
+
+// SetOwnContact records whether the last call of this daemon reached the store.
+func (m *Mirror) SetOwnContact(reached bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own = contactOf(reached)
+	m.updateContact(time.Time{})
 }
 
-// SetContact records whether the store is reached, and through which daemons. A hub that was without the store until a time
-// passes that time on as backAt, so that entries that lapsed meanwhile are kept here, too; it is zero otherwise.
-func (m *Mirror) SetContact(reached bool, backAt time.Time, path ...string) {
+// SetHubContact records whether the hub that this daemon follows reaches the store, and through which daemons. A hub that was
+// without the store until a time passes that time on as backAt, so that entries that lapsed meanwhile are kept here, too; it is
+// zero otherwise.
+func (m *Mirror) SetHubContact(reached bool, backAt time.Time, path []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.path = path
+	m.hub, m.hubPath = contactOf(reached), path
+	m.updateContact(backAt)
+}
+
+// EndHubContact records that this daemon follows no hub.
+func (m *Mirror) EndHubContact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hub, m.hubPath = contactUnknown, nil
+	m.updateContact(time.Time{})
+}
+
+// updateContact derives whether the store is reached from what is known of the own calls and of the hub. A success of either
+// counts; while neither has succeeded or failed, the contact stays as it was. The caller holds m.mu.
+func (m *Mirror) updateContact(backAt time.Time) {
+	reached := m.own == contactMade || m.hub == contactMade
+	switch {
+	case m.own == contactMade:
+		backAt = time.Time{}
+	case !reached && m.own == contactUnknown && m.hub == contactUnknown:
+		return
+	}
 	switch {
 	case !reached && !m.lost:
 		m.lost, m.lossDue = true, true
@@ -243,11 +294,11 @@
 	defer timer.Stop()
 	for {
 		changed := m.Changed()
-		lost, returned := m.takeContactChange()
+		items, revision, complete := m.Since(after)
+		lost, returned := m.takeContactChange(revision > after)
 		if lost {
 			return nil, 0, lostStore("Watch", nil)
 		}
-		items, revision, complete := m.Since(after)
 		switch {
 		case !complete:
 			return nil, 0, &mangostate.Error{Op: "Watch", Kind: mangostate.KindCompacted}
@@ -270,15 +321,16 @@
 	}
 }
 
-// takeContactChange reports whether the user of the mirror has to be told now that the store was lost, or that it is back.
-func (m *Mirror) takeContactChange() (lost, returned bool) {
+// takeContactChange reports whether the user of the mirror has to be told now that the store was lost, or that it is back. If
+// there are changes, it is told of one loss before them and then of the changes, however often the contact comes and goes.
+func (m *Mirror) takeContactChange(changes bool) (lost, returned bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.lossDue:
+	case m.lossDue && !(changes && m.returnDue):
 		m.lossDue, m.returnDue = false, true
 		return true, false
-	case m.returnDue && !m.lost:
+	case m.returnDue && (changes || !m.lost):
 		m.returnDue = false
 		return false, true
 	}
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -135,13 +135,7 @@
 }
 
 // RecordCall records whether a call that another component of this daemon made reached the store.
-func (r *Reader) RecordCall(err error) {
-	if err == nil {
-		r.mirror.SetContact(true, time.Time{})
-	} else if !r.upstream.Link().Confirmed(time.Now()) {
-		r.mirror.SetContact(false, time.Time{})
-	}
-}
+func (r *Reader) RecordCall(err error) { r.mirror.SetOwnContact(err == nil) }
 
 // recordResult records whether a call reached the store. While the hub reaches it, a failed call of this daemon is no loss.
 func (r *Reader) recordResult(err error) {
