--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -13,6 +13,16 @@
 	Layers  mangoreplica.LayerRange
 }
 
+// Share returns the share of the replica's layers that the request uses. The request takes that share of the memory that it
+// would take with all of them.
+func (s Stage) Share() float64 {
+	held := s.Replica.Layers.Len()
+	if held == 0 {
+		return 1
+	}
+	return min(float64(s.Layers.Len())/float64(held), 1)
+}
+
 // Chain is a sequence of replicas of one data centre whose layers join without gap or overlap.
 type Chain struct {
 	DataCentre string
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -18,7 +18,7 @@
 	// much busier.
 	remoteCost = 30 * time.Millisecond
 	// redundantCost is added for replicas whose layers other replicas hold as well, which keeps requests off them until the
-	// others are about half full. A replica without requests can take over lost layers at once; a busy one first has to
+	// others are about half full, where it equals what the pressure adds. A replica without requests can take over lost layers at once; a busy one first has to
 	// finish its requests.
 	redundantCost = 15 * time.Millisecond
 	// jitter is the largest random addition to the cost of a replica, as a share of the cost. It spreads the requests of
@@ -30,6 +30,9 @@
 	failureCost = 200 * time.Millisecond
 	// maxPressure caps the pressure in the cost, which would grow without limit as the pressure approaches 1.
 	maxPressure = 0.97
+	// pressureExponent makes the cost grow with the pressure faster than accelerators differ in speed, so that requests go
+	// where memory is free: fast replicas would otherwise be nearly full before slow ones are used.
+	pressureExponent = 4
 )
 
 // Choose returns the cheapest chain over all data centres. Avoided replicas are used only if no data centre has a chain
@@ -79,7 +82,9 @@
 // candidate is a usable replica with its estimated cost.
 type candidate struct {
 	replica *mangoreplica.Replica
-	// costPerLayer is the weighted time of one token in one layer, in nanoseconds.
+	// timePerLayer is the estimated time of one token in one layer, in nanoseconds.
+	timePerLayer float64
+	// costPerLayer is that time weighted by the pressure, by which replicas of a data centre are compared.
 	costPerLayer float64
 	// pressure is the share of the replica's KV cache in use once the request runs on it.
 	pressure float64
@@ -122,7 +127,9 @@
 			sets = append(sets, s)
 		}
 		c := estimateCost(view, request, r)
-		c.costPerLayer *= costFactor * (1 + jitter*request.Random())
+		factor := costFactor * (1 + jitter*request.Random())
+		c.costPerLayer *= factor
+		c.timePerLayer *= factor
 		s.candidates = append(s.candidates, c)
 	}
 	for _, s := range sets {
@@ -178,13 +185,27 @@
 	}
 	// Slowness is squared because the queue at a slow replica grows faster than its step time.
 	slowness := view.Status.Slowness(r.Incarnation(), view.Now)
+	free := 1 - min(pressure, maxPressure)
+	timePerLayer := stepPerLayer * slowness * slowness / free
 	return candidate{
-		replica: r, costPerLayer: stepPerLayer * slowness * slowness / (1 - min(pressure, maxPressure)), pressure: pressure,
+		replica: r, timePerLayer: timePerLayer, costPerLayer: timePerLayer / math.Pow(free, pressureExponent-1), pressure: pressure,
 		slow:        slowness >= mangoreplica.SlowThreshold,
 		failureRate: view.Status.FailureRate(r.Incarnation(), view.Now),
 	}
 }
 
+// fixedCost returns the part of the cost of a stage that does not depend on its layers; first says that it is the first one.
+func (c candidate) fixedCost(first bool) float64 {
+	fixed := float64(hopCost)
+	if first {
+		fixed += c.failureRate * float64(failureCost)
+	}
+	if c.redundant {
+		fixed += float64(redundantCost)
+	}
+	return fixed
+}
+
 // cheapestChain returns the cheapest sequence of candidates from the first to the last layer. A stage always runs up to the
 // last layer of its replica: a chain that leaves a replica earlier can be replaced by one with as many stages that does not.
 func (s *candidateSet) cheapestChain(layers int) (Chain, bool) {
@@ -198,13 +219,7 @@
 			if c.replica.Layers.From > from || to <= from || (from == 0 && s.canBeFirst != nil && !s.canBeFirst(c.replica.ID)) {
 				continue
 			}
-			total := c.costPerLayer*float64(to-from) + float64(hopCost) + cost[to]
-			if from == 0 {
-				total += c.failureRate * float64(failureCost)
-			}
-			if c.redundant {
-				total += float64(redundantCost)
-			}
+			total := c.costPerLayer*float64(to-from) + c.fixedCost(from == 0) + cost[to]
 			if total < cost[from] {
 				cost[from], next[from] = total, i
 			}
@@ -213,12 +228,13 @@
 	if math.IsInf(cost[0], 1) {
 		return Chain{}, false
 	}
-	chain := Chain{DataCentre: s.dataCentre, Cost: time.Duration(cost[0])}
+	chain := Chain{DataCentre: s.dataCentre}
 	for from := 0; from < layers; {
 		c := s.candidates[next[from]]
 		to := min(c.replica.Layers.To, layers)
 		chain.Stages = append(chain.Stages, Stage{Replica: c.replica, Layers: mangoreplica.LayerRange{From: from, To: to}})
 		chain.Pressure = max(chain.Pressure, c.pressure)
+		chain.Cost += time.Duration(c.timePerLayer*float64(to-from) + c.fixedCost(from == 0))
 		from = to
 	}
 	return chain, true
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -107,11 +107,16 @@
 // trackInFlight counts the request as in flight on the replicas of a target until the returned function is called.
 // Meanwhile wake is called when one of these replicas is found lost.
 func (c *call) trackInFlight(t target, wake func()) func() {
-	tokens := 0.0
+	var release func()
 	if len(t.stages) > 0 {
-		tokens = c.estimateTokens()
+		shares := make(map[string]float64, len(t.stages))
+		for _, s := range t.stages {
+			shares[s.Replica.ID] = s.Share()
+		}
+		release = c.relay.health.BeginShares(c.estimateTokens(), shares)
+	} else {
+		release = c.relay.health.BeginRequest(0, t.replicaIDs...)
 	}
-	release := c.relay.health.BeginRequest(tokens, t.replicaIDs...)
 	remove := c.relay.inFlight.add(&inFlightRequest{fingerprint: c.fingerprint, wake: wake}, t.incarnations())
 	return func() {
 		release()
--- a/internal/mangoreplica/tracker.go
+++ b/internal/mangoreplica/tracker.go
@@ -212,23 +212,33 @@
 // BeginRequest adds a request with a number of tokens to the load of replicas. The returned function ends the request; calls
 // after the first one have no effect.
 func (h *HealthTracker) BeginRequest(tokens float64, ids ...string) func() {
-	h.addToLoads(1, tokens, ids)
+	shares := make(map[string]float64, len(ids))
+	for _, id := range ids {
+		shares[id] = 1
+	}
+	return h.BeginShares(tokens, shares)
+}
+
+// BeginShares is BeginRequest for a request that takes only a share of its tokens' memory on each replica, since it uses a part
+// of the layers there.
+func (h *HealthTracker) BeginShares(tokens float64, shares map[string]float64) func() {
+	h.addToLoads(1, tokens, shares)
 	var once sync.Once
-	return func() { once.Do(func() { h.addToLoads(-1, -tokens, ids) }) }
+	return func() { once.Do(func() { h.addToLoads(-1, -tokens, shares) }) }
 }
 
-// addToLoads changes the requests and tokens in flight on replicas.
-func (h *HealthTracker) addToLoads(requests int, tokens float64, ids []string) {
+// addToLoads changes the requests in flight on replicas, and the tokens by the share of each replica.
+func (h *HealthTracker) addToLoads(requests int, tokens float64, shares map[string]float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, id := range ids {
+	for id, share := range shares {
 		l := h.loads[id]
 		if l == nil {
 			l = &load{}
 			h.loads[id] = l
 		}
 		l.requests += requests
-		l.tokens += tokens
+		l.tokens += tokens * share
 		if l.requests <= 0 && l.reportedAt.IsZero() {
 			delete(h.loads, id)
 		}
