Answer callers whose connection a stopping daemon has accepted

Cause: at the end of draining the server was closed at once, with connections that had been accepted and whose request was on its way, and an idle connection was closed although a request had begun to arrive on it.

Change: the listener is closed first; accepted connections get up to 0.5 s to send their request and to get its answer, which the exit margin of 1.2 s in place of 0.7 s covers; connections with unread bytes are not closed as idle.

--- a/internal/mangoentry/idle_conns_test.go
+++ b/internal/mangoentry/caller_conns_test.go
@@ -14,7 +14,7 @@
 // although other daemons serve. Also guards against closing a connection on which a request is being served.
 func TestIdleConnectionsClose(t *testing.T) {
 	is := is.New(t)
-	conns := newIdleConns()
+	conns := newCallerConns()
 	release := make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
@@ -51,7 +51,7 @@
 	until := time.Now().Add(5 * time.Second)
 	closed := 0
 	for closed == 0 && time.Now().Before(until) {
-		closed += conns.closeAll()
+		closed += conns.closeIdle()
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(closed, 1)
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -34,11 +34,14 @@
 	// a second apart. After it the load balancer sends callers here only if other daemons of the data centre are down, too.
 	deregistrationTime = 2300 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the process to exit after draining.
-	exitMargin = 700 * time.Millisecond
+	exitMargin = 1200 * time.Millisecond
 	// minRequestTime is the time before the end of draining from which no request is accepted. Plain requests take much less.
 	minRequestTime = 1200 * time.Millisecond
 	// drainPollInterval is the time between two checks whether draining is complete.
 	drainPollInterval = 50 * time.Millisecond
+	// lastConnectionTime is the time after draining in which connections that have just been accepted may still send their
+	// request and get its answer.
+	lastConnectionTime = 500 * time.Millisecond
 	// memoryLimitFraction is the fraction of the host's memory that is set as the soft memory limit of the Go runtime, above
 	// which it collects garbage more often.
 	memoryLimitFraction = 0.8
@@ -119,7 +122,7 @@
 	dutyCtx, stopDuties := context.WithCancel(componentCtx)
 	defer stopDuties()
 	callers, readiness, metrics := newServer(d.logger), newServer(d.logger), newServer(d.logger)
-	conns := newIdleConns()
+	conns := newCallerConns()
 	callers.ConnState = conns.trackState
 	readiness.Handler, metrics.Handler = readinessHandler(d.isReady), metricsHandler(d.registry)
 	ended := make(chan componentExit)
@@ -160,6 +163,7 @@
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.lifecycle.activeRequests.Load()}).Info("the daemon is stopping")
 			stopDuties()
 			d.drain(conns)
+			shutdown(listeners.callers, conns)
 			failed = ctx.Err()
 		case c := <-ended:
 			running--
@@ -184,12 +188,12 @@
 
 // drain waits, within the grace period, until the load balancer sends no more callers and all requests are answered. It
 // closes idle connections meanwhile.
-func (d *Daemon) drain(conns *idleConns) {
+func (d *Daemon) drain(conns *callerConns) {
 	start := time.Now()
 	limit := d.drainLimit()
 	closed := 0
 	for time.Since(start) < limit {
-		closed += conns.closeAll()
+		closed += conns.closeIdle()
 		if time.Since(start) >= min(deregistrationTime, limit) && d.lifecycle.activeRequests.Load() == 0 {
 			break
 		}
@@ -200,6 +204,16 @@
 	}).Info("draining ended")
 }
 
+// shutdown closes the listener of callers and gives the accepted connections lastConnectionTime to send their request and to get
+// its answer. The server and the components of the daemon still run meanwhile.
+func shutdown(listener net.Listener, conns *callerConns) {
+	// The listener is closed whatever the error.
+	_ = listener.Close()
+	for start := time.Now(); conns.busyCount() > 0 && time.Since(start) < lastConnectionTime; time.Sleep(drainPollInterval) {
+		conns.closeIdle()
+	}
+}
+
 // drainLimit returns the longest time for draining after the signal to stop.
 func (d *Daemon) drainLimit() time.Duration {
 	return milliseconds(d.settings.GetBounds().GetGracePeriod()) - exitMargin
