Compare data centres without the penalty for redundant replicas

Cause: since the cost within a data centre grows faster with the pressure, chains pass through redundant replicas sooner, and the 15 ms that keep requests off these counted against the whole data centre.

Change: the penalty counts only in the choice within a data centre.

--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -196,14 +196,10 @@
 
 // fixedCost returns the part of the cost of a stage that does not depend on its layers; first says that it is the first one.
 func (c candidate) fixedCost(first bool) float64 {
-	fixed := float64(hopCost)
 	if first {
-		fixed += c.failureRate * float64(failureCost)
+		return float64(hopCost) + c.failureRate*float64(failureCost)
 	}
-	if c.redundant {
-		fixed += float64(redundantCost)
-	}
-	return fixed
+	return float64(hopCost)
 }
 
 // cheapestChain returns the cheapest sequence of candidates from the first to the last layer. A stage always runs up to the
@@ -220,6 +216,9 @@
 				continue
 			}
 			total := c.costPerLayer*float64(to-from) + c.fixedCost(from == 0) + cost[to]
+			if c.redundant {
+				total += float64(redundantCost)
+			}
 			if total < cost[from] {
 				cost[from], next[from] = total, i
 			}
