Send followers compressed values and only the last change of a key

The hub fell silent behind its own queue, its followers left it after 1 s and stood at an old version for more than 3 s.

Change: values from 1 KiB on are sent in DEFLATE form, which is made once for all streams; of several changes of a key that a follower lacks it gets the last.

--- a/internal/mangohub/item.go
+++ b/internal/mangohub/item.go
@@ -17,6 +17,8 @@
 	Deleted  bool
 	// Err says why the rest of the item could not be read; nil if it could.
 	Err error
+	// pack is the compressed form of a large value; nil for others.
+	pack *packedValue
 }
 
 // Source reads the store. Errors are of type *mangostate.Error; after KindCompacted the caller must take a new snapshot.
@@ -33,7 +35,10 @@
 func encodeItems(items []Item) []*mangomessage.StoredItem {
 	list := make([]*mangomessage.StoredItem, len(items))
 	for i, it := range items {
-		list[i] = &mangomessage.StoredItem{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted}
+		list[i] = &mangomessage.StoredItem{Key: it.Key, Revision: it.Revision, Deleted: it.Deleted, Packed: it.packed()}
+		if list[i].GetPacked() == nil {
+			list[i].Value = it.Value
+		}
 		if it.Err != nil {
 			list[i].Problem = it.Err.Error()
 		}
@@ -46,6 +51,10 @@
 	items := make([]Item, len(list))
 	for i, m := range list {
 		items[i] = Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Deleted: m.GetDeleted()}
+		if packed := m.GetPacked(); packed != nil {
+			items[i].Value, items[i].Err = inflate(packed)
+			items[i].pack = &packedValue{data: packed}
+		}
 		if m.GetProblem() != "" {
 			items[i].Err = &Error{Op: "Decode", Kind: KindItem, Err: errors.New(m.GetProblem())}
 		}
--- a/internal/mangohub/mirror.go
+++ b/internal/mangohub/mirror.go
@@ -61,7 +61,7 @@
 	}
 	m.items = make(map[string]Item, len(items))
 	for _, it := range items {
-		m.items[it.Key] = it
+		m.items[it.Key] = it.withPack()
 	}
 	m.history, m.historyBytes, m.historyFrom = nil, 0, revision
 	m.revision, m.loaded = revision, true
@@ -82,6 +82,7 @@
 		if it.Revision <= m.revision {
 			continue
 		}
+		it = it.withPack()
 		if it.Deleted {
 			delete(m.items, it.Key)
 		} else {
@@ -134,8 +135,8 @@
 	return m.revision
 }
 
-// Since returns the changes after a revision and the revision that they lead to. complete is false if the mirror no longer
-// has all of them.
+// Since returns the changes after a revision, of each key only the last one, and the revision that they lead to. complete is
+// false if the mirror no longer has all of them.
 func (m *Mirror) Since(after uint64) (items []Item, revision uint64, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -147,12 +148,27 @@
 	}
 	for i, it := range m.history {
 		if it.Revision > after {
-			return append([]Item(nil), m.history[i:]...), m.revision, true
+			return lastOfEachKey(m.history[i:]), m.revision, true
 		}
 	}
 	return nil, m.revision, true
 }
 
+// lastOfEachKey returns the items, in order, without those that a later one of the same key replaces.
+func lastOfEachKey(items []Item) []Item {
+	last := make(map[string]int, len(items))
+	for i, it := range items {
+		last[it.Key] = i
+	}
+	kept := make([]Item, 0, len(last))
+	for i, it := range items {
+		if last[it.Key] == i {
+			kept = append(kept, it)
+		}
+	}
+	return kept
+}
+
 // All returns all items and the revision.
 func (m *Mirror) All() ([]Item, uint64) {
 	m.mu.Lock()
