Use the usual terms for heartbeats and announcements of hubs

Change: heartbeat and announcements in names, messages and comments; an update has at most 131,072 items in all its parts.

--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -50,10 +50,10 @@
 	Hub() (hub mangostate.Member, ok bool)
 }
 
-// Publisher sends news to the followers of this daemon. Its methods never block.
+// Publisher sends announcements to the followers of this daemon. Its methods never block.
 type Publisher interface {
-	// Publish sends news to all followers but the one that sent them.
-	Publish(from string, news *mangomessage.ExchangeRequest)
+	// Publish sends announcements to all followers but the one that sent them.
+	Publish(from string, announcements *mangomessage.ExchangeRequest)
 	// Wake sends new suspicions of the crash tracker.
 	Wake()
 }
@@ -136,7 +136,7 @@
 // Run, and the function must not block.
 func (br *Broadcaster) OnLoads(onLoads func(from string, l LoadReport)) { br.onLoads = onLoads }
 
-// OnPublish sets what sends news to the followers of this daemon. It must be called before Run.
+// OnPublish sets what sends announcements to the followers of this daemon. It must be called before Run.
 func (br *Broadcaster) OnPublish(p Publisher) { br.followers = p }
 
 // New returns a Broadcaster for the daemon self.
@@ -290,13 +290,13 @@
 		br.onClaim(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
 	}
 	isHub := br.topology.IsHub()
-	news := br.receive(request, isHub, now)
+	announcements := br.receive(request, isHub, now)
 	switch {
-	case !isHub || news.empty():
+	case !isHub || announcements.empty():
 	case request.GetRelayed():
-		br.enqueueForFollowers(news)
+		br.enqueueForFollowers(announcements)
 	default:
-		br.enqueue(news)
+		br.enqueue(announcements)
 	}
 	if isHub && len(request.GetSuspicions()) > 0 {
 		br.ReportCrash()
--- a/internal/mangobroadcast/broadcaster_test.go
+++ b/internal/mangobroadcast/broadcaster_test.go
@@ -37,16 +37,16 @@
 	return mangostate.Member{Name: t.hub, Address: t.hub + ":1"}, t.hub != ""
 }
 
-// recordedNews is a Publisher that keeps what it is given.
-type recordedNews struct {
-	news []*mangomessage.ExchangeRequest
+// recordedAnnouncements is a Publisher that keeps what it is given.
+type recordedAnnouncements struct {
+	announcements []*mangomessage.ExchangeRequest
 }
 
-func (r *recordedNews) Publish(_ string, news *mangomessage.ExchangeRequest) {
-	r.news = append(r.news, news)
+func (r *recordedAnnouncements) Publish(_ string, announcements *mangomessage.ExchangeRequest) {
+	r.announcements = append(r.announcements, announcements)
 }
 
-func (r *recordedNews) Wake() {}
+func (r *recordedAnnouncements) Wake() {}
 
 // newBroadcaster returns the broadcaster of the daemon "one", a hub, with the given hubs.
 func newBroadcaster(members ...string) *Broadcaster {
@@ -140,7 +140,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			br := newBroadcasterIn(fixedTopology{isHub: tt.isHub}, "one", "two")
-			followers := &recordedNews{}
+			followers := &recordedAnnouncements{}
 			br.OnPublish(followers)
 			_, err := br.Exchange(t.Context(), &mangomessage.ExchangeRequest{
 				From:      &mangomessage.Member{Name: "five", Address: "five:1"},
@@ -149,7 +149,7 @@
 			is.NoErr(err)
 			is.Equal(len(br.queued.layerReports) > 0, tt.toHubs)
 			br.publish(time.Now())
-			is.Equal(len(followers.news) == 1 && len(followers.news[0].GetSightings()) == 1, tt.toFollowers)
+			is.Equal(len(followers.announcements) == 1 && len(followers.announcements[0].GetSightings()) == 1, tt.toFollowers)
 		})
 	}
 }
@@ -181,12 +181,12 @@
 			if tt.avoidedBefore {
 				br.health.Avoid(r, mangoreplica.CauseUnreachable, time.Minute, now)
 			}
-			news := br.receive(&mangomessage.ExchangeRequest{
+			announcements := br.receive(&mangomessage.ExchangeRequest{
 				From: &mangomessage.Member{Name: "two"}, Outages: []*mangomessage.Outage{{Replica: "r", Cause: string(tt.cause), HoldMs: 1500}},
 			}, tt.isHub, now)
 			is.Equal(checked, tt.checked)
 			is.Equal(br.health.Avoided(r, now), tt.avoided)
-			is.Equal(len(news.outages) == 1, tt.sentOn)
+			is.Equal(len(announcements.outages) == 1, tt.sentOn)
 		})
 	}
 }
--- a/internal/mangobroadcast/queue.go
+++ b/internal/mangobroadcast/queue.go
@@ -52,7 +52,7 @@
 	return b
 }
 
-// forFollowers returns the part of the batch that followers get as news: claims concern hubs only, and revisions and loads
+// forFollowers returns the part of the batch that followers get as announcements: claims concern hubs only, and revisions and loads
 // reach followers in another way.
 func (b batch) forFollowers() batch {
 	b.revision, b.claim, b.loads = 0, nil, nil
--- a/internal/mangobroadcast/receive.go
+++ b/internal/mangobroadcast/receive.go
@@ -10,10 +10,10 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// HandleNews takes the news that this daemon's hub has sent.
-func (br *Broadcaster) HandleNews(news []*mangomessage.ExchangeRequest) {
+// HandleAnnouncements takes the announcements that this daemon's hub has sent.
+func (br *Broadcaster) HandleAnnouncements(announcements []*mangomessage.ExchangeRequest) {
 	now := time.Now()
-	for _, request := range news {
+	for _, request := range announcements {
 		br.receive(request, false, now)
 	}
 }
@@ -21,13 +21,13 @@
 // receive applies the announcements of another daemon and returns those that a hub sends on. A hub sends on an outage only
 // when it has checked the replica itself, so that a daemon that is cut off does not make others avoid sound replicas.
 func (br *Broadcaster) receive(request *mangomessage.ExchangeRequest, isHub bool, now time.Time) batch {
-	var news batch
+	var announcements batch
 	for _, r := range request.GetSightings() {
 		layers := mangoreplica.LayerRange{From: int(r.GetFromLayer()), To: int(r.GetToLayer())}
 		if layers.Valid() {
 			report := mangoreplica.LayerReport{Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()}, Layers: layers}
 			br.onLayers(report)
-			news.layerReports = append(news.layerReports, report)
+			announcements.layerReports = append(announcements.layerReports, report)
 		}
 	}
 	for _, o := range request.GetGivenOrders() {
@@ -38,7 +38,7 @@
 				Until: now.Add(time.Duration(o.GetLeftMs()) * time.Millisecond),
 			}
 			br.onOrder(order)
-			news.orders = append(news.orders, order)
+			announcements.orders = append(announcements.orders, order)
 		}
 	}
 	for _, p := range request.GetPaces() {
@@ -47,7 +47,7 @@
 			At: now.Add(-time.Duration(p.GetAgeMs()) * time.Millisecond),
 		}
 		br.onPace(pace, request.GetFrom().GetName())
-		news.paces = append(news.paces, pace)
+		announcements.paces = append(announcements.paces, pace)
 	}
 	if request.GetRelayed() {
 		br.crashes.MergeRelayed(request.GetSuspicions(), now)
@@ -57,12 +57,12 @@
 	fleet := br.state.View().Fleet
 	for _, o := range request.GetOutages() {
 		if r := fleet.ByID(o.GetReplica()); r != nil && br.receiveOutage(r, o, request.GetFrom().GetName(), isHub, now) {
-			news.outages = append(news.outages, mangoreplica.Outage{
+			announcements.outages = append(announcements.outages, mangoreplica.Outage{
 				Replica: r.Incarnation(), Cause: mangoreplica.Cause(o.GetCause()), At: now, Until: now.Add(time.Duration(o.GetHoldMs()) * time.Millisecond),
 			})
 		}
 	}
-	return news
+	return announcements
 }
 
 // receiveOutage applies an outage that another daemon announced, and reports whether a hub sends it on at once.
@@ -96,7 +96,7 @@
 }
 
 // markLeaving records that a replica told another daemon that it is leaving, if it is the same start of the replica, and
-// reports whether that is news.
+// reports whether that is announcements.
 func (br *Broadcaster) markLeaving(r *mangoreplica.Replica, born int64, peer string, now time.Time) bool {
 	if r.Born != born || !br.health.MarkLeaving(r.Incarnation(), now) {
 		return false
--- a/internal/mangoentry/provide_hub.go
+++ b/internal/mangoentry/provide_hub.go
@@ -69,7 +69,7 @@
 		if !u.GetStoreLost() && !slices.Contains(u.GetPath(), self.Name) {
 			contact.Record(time.Duration(u.GetConfirmedAgeMs()) * time.Millisecond)
 		}
-		broadcaster.HandleNews(u.GetNews())
+		broadcaster.HandleAnnouncements(u.GetAnnouncements())
 		reporter.HandleUpdate(u)
 	})
 	return server
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangostate"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// silenceLimit is the time without an update after which a hub counts as lost. Hubs send an update each beatInterval.
+	// silenceLimit is the time without an update after which a hub counts as lost. Hubs send an update each heartbeatInterval.
 	silenceLimit = time.Second
 	// confirmationLimit is the age above which the hub's contact to the store no longer counts. Daemons that reach the store
 	// tell each other about once a second.
@@ -30,6 +31,8 @@
 	maxRotation = 10 * time.Second
 	// unconfirmedMemory is the time for which a hub without contact to the store is tried after all others.
 	unconfirmedMemory = 3 * time.Second
+	// maxSnapshotItems bounds the items of one update with all its parts.
+	maxSnapshotItems = 1 << 17
 	// settleTime is the least time for which a hub is followed before a better one replaces it.
 	settleTime = 2 * time.Second
 )
@@ -104,7 +107,7 @@
 	return func(f *Follower) { f.logger = l }
 }
 
-// OnUpdate sets the function that takes the news, loads and confirmations of updates. It must be called before Run, and the
+// OnUpdate sets the function that takes the announcements, loads and confirmations of updates. It must be called before Run, and the
 // function must not block.
 func (f *Follower) OnUpdate(h func(u *mangomessage.FollowUpdate)) { f.onUpdate = h }
 
@@ -228,7 +231,10 @@
 			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision()}).
 				Info("this daemon follows a hub")
 		}
-		begun = f.apply(begun, u)
+		if begun = f.apply(begun, u); len(begun) > maxSnapshotItems {
+			f.endLink(hub, updates, &Error{Op: "Follow", Kind: KindStream, Err: errors.Errorf("an update of more than %d items", maxSnapshotItems)})
+			return false
+		}
 		f.onUpdate(u)
 		if f.shouldLeave(hub) {
 			f.endLink(hub, updates, nil)
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -137,7 +137,7 @@
 // RecordCall records whether a call that another component of this daemon made reached the store.
 func (r *Reader) RecordCall(err error) { r.mirror.SetOwnContact(err == nil) }
 
-// recordResult records whether a call reached the store. While the hub reaches it, a failed call of this daemon is no loss.
+// recordResult records whether a call of Run reached the store. A compacted history shows that it did.
 func (r *Reader) recordResult(err error) {
 	if isCompacted(err) {
 		err = nil
--- a/internal/mangohub/reporter.go
+++ b/internal/mangohub/reporter.go
@@ -13,8 +13,8 @@
 const (
 	// maxReportInterval is the longest time between two reports of an unchanged load. It is a third of loadLifetime.
 	maxReportInterval = loadLifetime / 3
-	// groupBeats is the number of beats of which one sends the load of a group to the other hubs.
-	groupBeats = 2
+	// groupHeartbeats is the number of heartbeats of which one sends the load of a group to the other hubs.
+	groupHeartbeats = 2
 )
 
 // Announcer sends the load of daemons, this one or as a hub its group, to hubs. It must not block.
@@ -57,9 +57,9 @@
 
 // Run reports loads until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	tick := time.NewTicker(beatInterval)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
-	for beat := 0; ; beat++ {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -67,7 +67,7 @@
 		}
 		own := r.health.OwnLoads()
 		if r.topology.IsHub() {
-			r.reportGroup(own, beat%groupBeats == 0, time.Now())
+			r.reportGroup(own, n%groupHeartbeats == 0, time.Now())
 		} else {
 			r.reportOwn(own, time.Now())
 		}
--- a/internal/mangohub/server.go
+++ b/internal/mangohub/server.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// beatInterval is the longest time between two updates to a follower.
-	beatInterval = 250 * time.Millisecond
-	// remoteLoadBeats is the number of updates of which one has the load of replicas in other data centres; all have that of
+	// heartbeatInterval is the longest time between two updates to a follower.
+	heartbeatInterval = 250 * time.Millisecond
+	// remoteLoadHeartbeats is the number of heartbeats of which one has the load of replicas in other data centres; all have that of
 	// the own one.
-	remoteLoadBeats = 4
+	remoteLoadHeartbeats = 4
 	// maxUpdateBytes bounds the items of one update, unless a single item is larger.
 	maxUpdateBytes = 1 << 20
 	// returnTold is the time for which followers are told that the store was lost and is back.
 	returnTold = 5 * time.Second
-	// maxQueuedNews bounds the news that wait for one follower; later ones are dropped.
-	maxQueuedNews = 256
+	// maxQueuedAnnouncements bounds the announcements that wait for one follower; later ones are dropped.
+	maxQueuedAnnouncements = 256
 )
 
 // Loads is the load of all daemons on replicas, for followers.
@@ -32,7 +32,7 @@
 	Daemons       int
 }
 
-// Server sends followers what the mirror learns, news and loads. Its methods are safe for concurrent use.
+// Server sends followers what the mirror learns, announcements and loads. Its methods are safe for concurrent use.
 type Server struct {
 	self   string
 	mirror *Mirror
@@ -43,19 +43,19 @@
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
-	// beat is closed and replaced at each beat, and current is the load that was computed with it.
-	beat    chan struct{}
-	beats   int
-	current Loads
+	// heartbeat is closed and replaced at each heartbeat, and current is the load that was computed with it.
+	heartbeat  chan struct{}
+	heartbeats int
+	current    Loads
 }
 
 // follower is the stream to one follower.
 type follower struct {
 	name string
-	// storeOnly says that it gets neither news nor loads.
-	storeOnly bool
-	news      []*mangomessage.ExchangeRequest
-	wake      chan struct{}
+	// storeOnly says that it gets neither announcements nor loads.
+	storeOnly     bool
+	announcements []*mangomessage.ExchangeRequest
+	wake          chan struct{}
 	// position is the one in the log of suspicions up to which the follower has them.
 	position uint64
 }
@@ -79,7 +79,7 @@
 	s := &Server{
 		self: self, mirror: mirror, loads: func() Loads { return Loads{} }, logger: logrus.StandardLogger(),
 		suspicions: func(after uint64) ([]*mangomessage.Suspicion, uint64) { return nil, after },
-		followers:  map[*follower]struct{}{}, beat: make(chan struct{}),
+		followers:  map[*follower]struct{}{}, heartbeat: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -94,9 +94,9 @@
 	return len(s.followers)
 }
 
-// Run computes the loads and wakes the streams at each beat, until the context ends.
+// Run computes the loads and wakes the streams at each heartbeat, until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	tick := time.NewTicker(beatInterval)
+	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -110,22 +110,22 @@
 		loads := s.loads()
 		s.mu.Lock()
 		s.current = loads
-		s.beats++
-		close(s.beat)
-		s.beat = make(chan struct{})
+		s.heartbeats++
+		close(s.heartbeat)
+		s.heartbeat = make(chan struct{})
 		s.mu.Unlock()
 	}
 }
 
-// Publish queues news for all followers but the one that sent them. It never blocks.
-func (s *Server) Publish(from string, news *mangomessage.ExchangeRequest) {
+// Publish queues announcements for all followers but the one that sent them. It never blocks.
+func (s *Server) Publish(from string, announcements *mangomessage.ExchangeRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for f := range s.followers {
-		if f.name == from || f.storeOnly || len(f.news) >= maxQueuedNews {
+		if f.name == from || f.storeOnly || len(f.announcements) >= maxQueuedAnnouncements {
 			continue
 		}
-		f.news = append(f.news, news)
+		f.announcements = append(f.announcements, announcements)
 		f.signal()
 	}
 }
@@ -162,7 +162,7 @@
 	last, withLoads := request.GetAfter(), true
 	for {
 		s.mu.Lock()
-		beat := s.beat
+		heartbeat := s.heartbeat
 		s.mu.Unlock()
 		changed := s.mirror.Changed()
 		var err error
@@ -172,7 +172,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-beat:
+		case <-heartbeat:
 			withLoads = true
 		case <-changed:
 			withLoads = false
@@ -186,7 +186,7 @@
 func (s *Server) sendUpdate(f *follower, after uint64, withLoads bool, send func(*mangomessage.FollowUpdate) error) (uint64, error) {
 	u := s.contactUpdate()
 	if !f.storeOnly {
-		s.addNews(u, f)
+		s.addAnnouncements(u, f)
 		if withLoads {
 			s.addLoads(u)
 		}
@@ -238,23 +238,23 @@
 	return u
 }
 
-// addNews adds the news and suspicions that the follower does not have.
-func (s *Server) addNews(u *mangomessage.FollowUpdate, f *follower) {
+// addAnnouncements adds the announcements and suspicions that the follower does not have.
+func (s *Server) addAnnouncements(u *mangomessage.FollowUpdate, f *follower) {
 	s.mu.Lock()
-	u.News, f.news = f.news, nil
+	u.Announcements, f.announcements = f.announcements, nil
 	s.mu.Unlock()
 	var suspicions []*mangomessage.Suspicion
 	if suspicions, f.position = s.suspicions(f.position); len(suspicions) > 0 {
-		u.News = append(u.News, &mangomessage.ExchangeRequest{Suspicions: suspicions, Relayed: true})
+		u.Announcements = append(u.Announcements, &mangomessage.ExchangeRequest{Suspicions: suspicions, Relayed: true})
 	}
 }
 
-// addLoads adds the load that was computed with the last beat.
+// addLoads adds the load that was computed with the last heartbeat.
 func (s *Server) addLoads(u *mangomessage.FollowUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u.Loads, u.Daemons = EncodeLoads(s.current.Local), uint32(s.current.Daemons)
-	if s.beats%remoteLoadBeats == 0 {
+	if s.heartbeats%remoteLoadHeartbeats == 0 {
 		u.Loads = append(u.Loads, EncodeLoads(s.current.Remote)...)
 		u.AllLoads = true
 	}
