Show the state at the start in the first lagging reports

Cause: a report with a lag showed the present state until the first load sample was taken, 20 ms after the start, so that a stream opened in that time appeared at once.

Change: an engine takes its first load sample when it is made.

--- a/internal/mangoengine/engine.go
+++ b/internal/mangoengine/engine.go
@@ -125,6 +125,8 @@
 		o(e)
 	}
 	e.prefixCache = newPrefixCache(e.cacheEntries)
+	// The reports of the first lag show the state at the start.
+	e.loadSamples = []loadSample{{time.Now(), e.currentState()}}
 	e.registerRoutes()
 	return e
 }
