--- a/internal/mangorelay/log.go
+++ b/internal/mangorelay/log.go
@@ -16,6 +16,7 @@
 		"result": result.String(), "since_ms": time.Since(c.request.ArrivedAt).Milliseconds(), "last_event": c.events.lastID,
 		"budget_left": int(c.relay.budget.Remaining(c.serviceName, time.Now())), "revision": c.view.Revision,
 		"answered": c.answerStatus, "fault": c.refusedByReplica, "first_ms": c.sendFirstEventDelay.Milliseconds(), "silent_ms": c.silence().Milliseconds(),
+		"parts": strings.Join(c.request.PromptParts, ","),
 	})
 	if result == resultDelivered {
 		entry.Info("request sent and answered")
--- a/internal/mangorelay/request.go
+++ b/internal/mangorelay/request.go
@@ -29,6 +29,8 @@
 	// request to a model; 0 if it did not.
 	PromptTokens int
 	AnswerTokens int
+	// PromptParts has the ids of the parts of the prompt that other requests may share, in their order.
+	PromptParts []string
 	// LastEventID is the id of the last event of the stream that the caller has received; Resumes says that it has any.
 	LastEventID uint64
 	Resumes     bool
