Keep the requests of all daemons below the limits that replicas name

A replica in need names in its answers how many requests a second it takes from all daemons together.

Cause: the field was not decoded, and the daemons had no way to keep a bound together but the budget of retries.

The limits now go to all daemons, with the demand for limited replicas in the reports of loads. Each daemon lets a part of its requests go to such a replica that is the limit divided by the demand of all, spread evenly from request to request, and bounds its own sends by its usual part for the time until it knows of a burst of the others. A request that could only go beyond limits is refused at once, with a Retry-After that grows with the demand.

--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -9,6 +9,7 @@
 
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -85,6 +86,7 @@
 	onPace     func(p mangoreplica.Pace, from string)
 	onLoads    func(from string, l LoadReport)
 	onSuspects func()
+	onLimit    func(l mangolimit.Limit, from string)
 	topology   Topology
 	followers  Publisher
 
@@ -141,6 +143,12 @@
 // before Run, and the function must not block.
 func (br *Broadcaster) OnSuspects(onSuspects func()) { br.onSuspects = onSuspects }
 
+// OnRateLimit sets the function that receives the limits that replicas named to other daemons. It must be called before Run, and
+// the function must not block.
+func (br *Broadcaster) OnRateLimit(onLimit func(l mangolimit.Limit, from string)) {
+	br.onLimit = onLimit
+}
+
 // OnPublish sets what sends announcements to the followers of this daemon. It must be called before Run.
 func (br *Broadcaster) OnPublish(p Publisher) { br.followers = p }
 
@@ -151,7 +159,7 @@
 ) *Broadcaster {
 	br := &Broadcaster{
 		self: self, client: client, state: state, topology: topology, health: health, crashes: crashes, logger: logrus.StandardLogger(),
-		followers: noFollowers{}, onLoads: func(string, LoadReport) {}, onSuspects: func() {},
+		followers: noFollowers{}, onLoads: func(string, LoadReport) {}, onSuspects: func() {}, onLimit: func(mangolimit.Limit, string) {},
 		wake: make(chan struct{}, 1), peerQueues: map[string]*peerQueue{}, recentSenders: map[string]recentSender{}, onRevision: func(uint64) {},
 		onLayers: func(mangoreplica.LayerReport) {}, onOutage: func(*mangoreplica.Replica) {}, onClaim: func(string, Claim) {}, onOrder: func(mangolayout.GivenOrder) {},
 		onPace: func(mangoreplica.Pace, string) {},
@@ -185,6 +193,11 @@
 	br.enqueue(batch{paces: []mangoreplica.Pace{p}})
 }
 
+// AnnounceRateLimit queues a limit that a replica named for the other daemons. It never blocks.
+func (br *Broadcaster) AnnounceRateLimit(l mangolimit.Limit) {
+	br.enqueue(batch{limits: []mangolimit.Limit{l}})
+}
+
 // AnnounceLoads queues the load that this daemon, or as a hub its group, puts on replicas. It never blocks.
 func (br *Broadcaster) AnnounceLoads(l LoadReport) { br.enqueue(batch{loads: &l}) }
 
--- a/internal/mangobroadcast/queue.go
+++ b/internal/mangobroadcast/queue.go
@@ -7,12 +7,13 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// maxQueued bounds the outages, layer reports, orders and paces that wait in a queue, each kind by itself.
+// maxQueued bounds the outages, layer reports, orders, paces and limits that wait in a queue, each kind by itself.
 const maxQueued = 1024
 
 // LoadReport is the load that daemons put on replicas.
@@ -32,6 +33,7 @@
 	claim    *Claim
 	orders   []mangolayout.GivenOrder
 	paces    []mangoreplica.Pace
+	limits   []mangolimit.Limit
 	loads    *LoadReport
 }
 
@@ -42,6 +44,7 @@
 	b.layerReports = appendBounded(b.layerReports, o.layerReports)
 	b.orders = appendBounded(b.orders, o.orders)
 	b.paces = appendBounded(b.paces, o.paces)
+	b.limits = appendBounded(b.limits, o.limits)
 	b.revision = max(b.revision, o.revision)
 	if o.claim != nil {
 		b.claim = o.claim
@@ -71,7 +74,7 @@
 
 // empty reports whether there is nothing to send.
 func (b batch) empty() bool {
-	return len(b.outages) == 0 && len(b.layerReports) == 0 && len(b.orders) == 0 && len(b.paces) == 0 && b.revision == 0 && b.claim == nil && b.loads == nil
+	return len(b.outages) == 0 && len(b.layerReports) == 0 && len(b.orders) == 0 && len(b.paces) == 0 && len(b.limits) == 0 && b.revision == 0 && b.claim == nil && b.loads == nil
 }
 
 // message encodes the batch as a message without suspicions. Times are sent as ages or remaining times, so that clocks need
@@ -99,6 +102,11 @@
 			Replica: p.Replica.ID, Born: p.Replica.Born, Slowness: float32(p.Slowness), AgeMs: milliseconds(now.Sub(p.At)),
 		})
 	}
+	for _, l := range b.limits {
+		m.RateLimits = append(m.RateLimits, &mangomessage.RateLimit{
+			Replica: l.Replica.ID, Born: l.Replica.Born, Named: l.Named, PerSecond: l.PerSecond, AgeMs: milliseconds(now.Sub(l.At)),
+		})
+	}
 	if b.claim != nil {
 		m.Claim = &mangomessage.Claim{Fence: b.claim.Fence, Holder: b.claim.Holder}
 	}
--- a/internal/mangobroadcast/receive.go
+++ b/internal/mangobroadcast/receive.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangolayout"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -58,6 +59,16 @@
 		br.onSuspects()
 	}
 	fleet := br.state.View().Fleet
+	for _, m := range request.GetRateLimits() {
+		if r := fleet.ByID(m.GetReplica()); r != nil && r.Born == m.GetBorn() {
+			l := mangolimit.Limit{
+				Replica: r.Incarnation(), Service: r.Service, Named: m.GetNamed(), PerSecond: m.GetPerSecond(),
+				At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			}
+			br.onLimit(l, request.GetFrom().GetName())
+			announcements.limits = append(announcements.limits, l)
+		}
+	}
 	for _, o := range request.GetOutages() {
 		if r := fleet.ByID(o.GetReplica()); r != nil && br.receiveOutage(r, o, request.GetFrom().GetName(), isHub, now) {
 			announcements.outages = append(announcements.outages, mangoreplica.Outage{
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -15,6 +15,7 @@
 	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangolease"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangopeer"
@@ -128,9 +129,23 @@
 }
 
 func provideEngines(
-	dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker, broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger,
+	dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker, limiter *mangolimit.Limiter, broadcaster *mangobroadcast.Broadcaster,
+	logger *logrus.Logger,
 ) *platform.ReplicaClient {
-	return platform.NewReplicaClient(dialer, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, broadcaster, logger)))
+	return platform.NewReplicaClient(dialer, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, limiter, broadcaster, logger)))
+}
+
+// provideLimiter also makes the broadcaster deliver the limits that replicas named to other daemons.
+func provideLimiter(health *mangoreplica.HealthTracker, broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger) *mangolimit.Limiter {
+	limiter := mangolimit.New(health)
+	broadcaster.OnRateLimit(func(l mangolimit.Limit, from string) {
+		if limiter.Record(l) {
+			logger.WithFields(logrus.Fields{
+				"event": "replica_limited", "replica": l.Replica.ID, "limited": l.Named, "per_second": l.PerSecond, "peer": from,
+			}).Info("the limit on requests that a replica names changed, by the word of another daemon")
+		}
+	})
+	return limiter
 }
 
 // provideSlowDetector also makes the broadcaster deliver the slowness of replicas that other daemons have probed.
@@ -144,13 +159,13 @@
 
 func provideRelay(
 	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker,
-	budget *mangobudget.Budget, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
+	budget *mangobudget.Budget, limiter *mangolimit.Limiter, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
 	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, follower *mangohub.Follower, logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, health, budget, crashes,
 		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
-		mangorelay.WithObserver(metrics), mangorelay.WithCloseConnections(lifecycle.isStopping), mangorelay.WithRejectNew(lifecycle.refusesNew),
+		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithCloseConnections(lifecycle.isStopping), mangorelay.WithRejectNew(lifecycle.refusesNew),
 	)
 }
 
--- a/internal/mangoentry/provide_hub.go
+++ b/internal/mangoentry/provide_hub.go
@@ -10,6 +10,7 @@
 	"mangopath.org/mangopath/internal/mangobroadcast"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangohub"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -45,10 +46,14 @@
 
 // provideReporter also connects the reporter to the loads that other daemons announce.
 func provideReporter(
-	self mangostate.Member, health *mangoreplica.HealthTracker, state *mangostate.Controller, follower *mangohub.Follower, table *mangohub.LoadTable,
+	self mangostate.Member, limiter *mangolimit.Limiter, health *mangoreplica.HealthTracker, state *mangostate.Controller, follower *mangohub.Follower, table *mangohub.LoadTable,
 	broadcaster *mangobroadcast.Broadcaster,
 ) *mangohub.Reporter {
-	r := mangohub.NewReporter(self.Name, self.DataCentre, health, state, follower, table, func(loads []*mangomessage.ReplicaLoad, daemons int) {
+	own := func(now time.Time) map[string]mangoreplica.Load {
+		limiter.Prune(state.View().Fleet)
+		return limiter.AddDemand(health.OwnLoads(), now)
+	}
+	r := mangohub.NewReporter(self.Name, self.DataCentre, own, health, state, follower, table, func(loads []*mangomessage.ReplicaLoad, daemons int) {
 		broadcaster.AnnounceLoads(mangobroadcast.LoadReport{Loads: loads, Daemons: daemons})
 	})
 	broadcaster.OnLoads(func(from string, l mangobroadcast.LoadReport) { r.HandleReport(from, l.Loads, l.Daemons, l.Group) })
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -42,17 +42,18 @@
 	seats := provideSeats(settings, member, mangoentryBootID, store, controller, contact, logger)
 	follower := provideFollower(member, client, controller, mirror, seats, logger)
 	broadcaster := provideBroadcaster(member, client, controller, follower, healthTracker, crashTracker, logger)
-	replicaClient := provideEngines(dialer, healthTracker, broadcaster, logger)
+	limiter := provideLimiter(healthTracker, broadcaster, logger)
+	replicaClient := provideEngines(dialer, healthTracker, limiter, broadcaster, logger)
 	mangoentryLifecycle := newLifecycle()
 	detector := provideSlowDetector(controller, replicaClient, healthTracker, broadcaster, logger)
-	relay := provideRelay(settings, controller, dialer, healthTracker, budget, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, detector, follower, logger)
+	relay := provideRelay(settings, controller, dialer, healthTracker, budget, limiter, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, detector, follower, logger)
 	reader := provideReader(store, mirror, seats, follower, contact, logger)
 	poller := providePoller(controller, store, contact, follower, reader, mirror, broadcaster)
 	monitor := provideMonitor(member, controller, relay, broadcaster, follower, logger)
 	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, contact, seats, logger)
 	deputy := provideDeputy(member, mangoentryPlacementLease, controller, contact, seats, broadcaster, logger)
 	loadTable := mangohub.NewLoadTable()
-	reporter := provideReporter(member, healthTracker, controller, follower, loadTable, broadcaster)
+	reporter := provideReporter(member, limiter, healthTracker, controller, follower, loadTable, broadcaster)
 	server := provideHubServer(member, mirror, contact, reporter, crashTracker, broadcaster, follower, logger)
 	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
@@ -66,7 +67,7 @@
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
 	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	providePoller, provideEngines, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, newLifecycle, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangohub/load.go
+++ b/internal/mangohub/load.go
@@ -83,8 +83,10 @@
 func EncodeLoads(loads map[string]mangoreplica.Load) []*mangomessage.ReplicaLoad {
 	list := make([]*mangomessage.ReplicaLoad, 0, len(loads))
 	for id, l := range loads {
-		if l.Requests > 0 {
-			list = append(list, &mangomessage.ReplicaLoad{Replica: id, Requests: uint32(l.Requests), Tokens: uint32(max(l.Tokens, 0))})
+		if l.Requests > 0 || l.Demand > 0 {
+			list = append(list, &mangomessage.ReplicaLoad{
+				Replica: id, Requests: uint32(max(l.Requests, 0)), Tokens: uint32(max(l.Tokens, 0)), Demand: float32(l.Demand),
+			})
 		}
 	}
 	return list
@@ -94,7 +96,7 @@
 func DecodeLoads(list []*mangomessage.ReplicaLoad) map[string]mangoreplica.Load {
 	loads := make(map[string]mangoreplica.Load, len(list))
 	for _, m := range list {
-		loads[m.GetReplica()] = mangoreplica.Load{Requests: int(m.GetRequests()), Tokens: float64(m.GetTokens())}
+		loads[m.GetReplica()] = mangoreplica.Load{Requests: int(m.GetRequests()), Tokens: float64(m.GetTokens()), Demand: float64(m.GetDemand())}
 	}
 	return loads
 }
--- a/internal/mangohub/reporter.go
+++ b/internal/mangohub/reporter.go
@@ -25,10 +25,14 @@
 	IsHub() bool
 }
 
+// LoadSource has the load that this daemon puts on replicas.
+type LoadSource func(now time.Time) map[string]mangoreplica.Load
+
 // Reporter tells the hub the load that this daemon puts on replicas, and the health tracker the load of all daemons. Its
 // methods are safe for concurrent use.
 type Reporter struct {
 	self     string
+	own      LoadSource
 	health   *mangoreplica.HealthTracker
 	state    State
 	topology Topology
@@ -47,10 +51,10 @@
 
 // NewReporter returns a reporter of the daemon self in a data centre.
 func NewReporter(
-	self, dataCentre string, health *mangoreplica.HealthTracker, state State, topology Topology, table *LoadTable, announce Announcer,
+	self, dataCentre string, own LoadSource, health *mangoreplica.HealthTracker, state State, topology Topology, table *LoadTable, announce Announcer,
 ) *Reporter {
 	return &Reporter{
-		self: self, dataCentre: dataCentre, health: health, state: state, topology: topology, table: table, announce: announce,
+		self: self, dataCentre: dataCentre, own: own, health: health, state: state, topology: topology, table: table, announce: announce,
 		total: map[string]mangoreplica.Load{},
 	}
 }
@@ -65,7 +69,7 @@
 			return ctx.Err()
 		case <-tick.C:
 		}
-		own := r.health.OwnLoads()
+		own := r.own(time.Now())
 		if r.topology.IsHub() {
 			r.reportGroup(own, n%groupHeartbeats == 0, time.Now())
 		} else {
@@ -108,9 +112,9 @@
 	fleet := r.state.View().Fleet
 	r.mu.Lock()
 	if !u.GetAllLoads() {
-		// The rest is as it was when it was told last.
+		// The rest is as it was when it was told last. Replicas with a limit are always told.
 		for id, l := range r.total {
-			if p := fleet.ByID(id); p != nil && p.DataCentre != r.dataCentre {
+			if p := fleet.ByID(id); p != nil && p.DataCentre != r.dataCentre && l.Demand == 0 && loads[id].Demand == 0 {
 				loads[id] = l
 			}
 		}
@@ -136,7 +140,7 @@
 	l := Loads{Local: map[string]mangoreplica.Load{}, Remote: map[string]mangoreplica.Load{}, Daemons: daemons}
 	fleet := r.state.View().Fleet
 	for id, load := range total {
-		if p := fleet.ByID(id); p != nil && p.DataCentre != r.dataCentre {
+		if p := fleet.ByID(id); p != nil && p.DataCentre != r.dataCentre && load.Demand == 0 {
 			l.Remote[id] = load
 		} else {
 			l.Local[id] = load
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -73,7 +73,7 @@
 	// Exclude reports whether a replica must not be used; nil excludes none.
 	Exclude func(id string) bool
 	// CanBeFirst reports whether a replica may be the first stage of the chain; nil allows all.
-	CanBeFirst func(id string) bool
+	CanBeFirst func(r mangoreplica.Incarnation) bool
 	// Penalty returns an extra cost of a data centre, for a queue there or because the request failed there before; nil
 	// adds none.
 	Penalty func(dataCentre string) time.Duration
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -101,7 +101,7 @@
 	dataCentre string
 	candidates []candidate
 	// canBeFirst reports whether a replica may be the first stage of a chain; nil allows all.
-	canBeFirst func(id string) bool
+	canBeFirst func(r mangoreplica.Incarnation) bool
 }
 
 // groupByDataCentre returns the usable replicas of each data centre with their costs. Avoided ones are included, at a
@@ -212,7 +212,7 @@
 		cost[from], next[from] = math.Inf(1), -1
 		for i, c := range s.candidates {
 			to := min(c.replica.Layers.To, layers)
-			if c.replica.Layers.From > from || to <= from || (from == 0 && s.canBeFirst != nil && !s.canBeFirst(c.replica.ID)) {
+			if c.replica.Layers.From > from || to <= from || (from == 0 && s.canBeFirst != nil && !s.canBeFirst(c.replica.Incarnation())) {
 				continue
 			}
 			total := c.costPerLayer*float64(to-from) + c.fixedCost(from == 0) + cost[to]
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -8,6 +8,7 @@
 
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -58,6 +59,9 @@
 	// mostly for lack of capacity. The latter may be tried again after the request has waited for a target.
 	failedReplicas   map[string]bool
 	refusingReplicas map[string]bool
+	// draw says which replicas with a limit the next send may go to, and overLimit that there was no target but for limits.
+	draw      mangolimit.Draw
+	overLimit bool
 	// retryPenalties has by data centre what earlier sends of this request add to the cost of targets there.
 	retryPenalties map[string]time.Duration
 	// refusalsInRow counts the sends of a started stream in a row that gave no event.
--- a/internal/mangorelay/notice.go
+++ b/internal/mangorelay/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangopipeline"
 	"mangopath.org/mangopath/internal/mangoreplica"
 )
@@ -18,8 +19,10 @@
 type NoticeHandler func(replica *mangoreplica.Replica, n mangoreplica.Notice, request string)
 
 // NewNoticeHandler returns a handler that records notices in the health tracker and tells the other daemons of replicas that
-// are leaving. A pause concerns this daemon only.
-func NewNoticeHandler(health *mangoreplica.HealthTracker, peers PeerNotifier, logger logrus.FieldLogger) NoticeHandler {
+// are leaving and of changed limits. A pause concerns this daemon only.
+func NewNoticeHandler(
+	health *mangoreplica.HealthTracker, limiter *mangolimit.Limiter, peers PeerNotifier, logger logrus.FieldLogger,
+) NoticeHandler {
 	return func(replica *mangoreplica.Replica, n mangoreplica.Notice, request string) {
 		now := time.Now()
 		i := replica.Incarnation()
@@ -28,6 +31,11 @@
 			entry.WithField("event", "replica_leaving").Info("replica says that it is leaving and gets nothing new")
 			peers.AnnounceOutage(mangoreplica.Outage{Replica: i, Cause: mangoreplica.CauseStopping, At: now, Until: now.Add(holdLeaving)})
 		}
+		if n.RateLimit.Unreadable {
+			entry.WithField("event", "limit_unreadable").Warn("the limit that a replica names can't be read; the last one goes on")
+		} else {
+			recordLimit(replica, n.RateLimit, now, limiter, peers, entry)
+		}
 		if health.Pause(i, n.RetryAfter, now) {
 			entry.WithFields(logrus.Fields{"event": "replica_paused", "pause_ms": min(n.RetryAfter, mangoreplica.MaxRetryAfter).Milliseconds()}).
 				Info("replica wants no requests for a time")
@@ -35,6 +43,19 @@
 	}
 }
 
+// recordLimit records what an answer says about the limit of a replica, and tells the other daemons if it changed.
+func recordLimit(
+	replica *mangoreplica.Replica, r mangoreplica.RateLimit, now time.Time, limiter *mangolimit.Limiter, peers PeerNotifier, entry *logrus.Entry,
+) {
+	l := mangolimit.Limit{Replica: replica.Incarnation(), Service: replica.Service, Named: r.Named, PerSecond: r.PerSecond, At: now}
+	if !limiter.Record(l) {
+		return
+	}
+	peers.AnnounceRateLimit(l)
+	entry.WithFields(logrus.Fields{"event": "replica_limited", "limited": l.Named, "per_second": l.PerSecond}).
+		Info("the limit on requests that a replica names changed")
+}
+
 // pauseLeft returns the time until a new request could be sent because pauses that replicas asked for have ended; 0 if no
 // replica has asked for one, or if other causes remain when all have ended.
 func (c *call) pauseLeft(now time.Time) time.Duration {
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -13,6 +13,7 @@
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
+	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -68,6 +69,8 @@
 	AnnounceOutage(o mangoreplica.Outage)
 	// ReportCrash signals that new crash reports are ready to be sent.
 	ReportCrash()
+	// AnnounceRateLimit tells the other daemons of a limit that a replica named or ended.
+	AnnounceRateLimit(l mangolimit.Limit)
 }
 
 // SlowReplicaFinder asks the replicas of a data centre how slow they are when requests there are slow.
@@ -94,6 +97,7 @@
 	slowReplicas     SlowReplicaFinder
 	health           *mangoreplica.HealthTracker
 	budget           *mangobudget.Budget
+	limiter          *mangolimit.Limiter
 	crashes          *mangocrash.CrashTracker
 	observer         Observer
 	logger           logrus.FieldLogger
@@ -131,6 +135,9 @@
 // WithSlowReplicaFinder sets what looks for slow replicas when requests are slow in a data centre.
 func WithSlowReplicaFinder(f SlowReplicaFinder) Option { return func(r *Relay) { r.slowReplicas = f } }
 
+// WithLimiter sets the limits of replicas, which other parts of the daemon share. By default the relay has its own.
+func WithLimiter(l *mangolimit.Limiter) Option { return func(r *Relay) { r.limiter = l } }
+
 // WithRandom replaces the source of random numbers in [0, 1).
 func WithRandom(f func() float64) Option { return func(r *Relay) { r.random = f } }
 
@@ -146,7 +153,7 @@
 	crashes *mangocrash.CrashTracker, opts ...Option,
 ) *Relay {
 	r := &Relay{
-		state: state, codec: codec, dialer: dialer, health: health, budget: budget, crashes: crashes, localDataCentre: dataCentre,
+		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
 		closeConnections: func() bool { return false }, rejectNew: func(bool) bool { return false }, inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
 		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
@@ -155,7 +162,7 @@
 	for _, o := range opts {
 		o(r)
 	}
-	r.handleNotice = NewNoticeHandler(health, r.peers, r.logger)
+	r.handleNotice = NewNoticeHandler(health, r.limiter, r.peers, r.logger)
 	return r
 }
 
@@ -227,6 +234,8 @@
 
 func (noPeerNotifier) ReportCrash() {}
 
+func (noPeerNotifier) AnnounceRateLimit(mangolimit.Limit) {}
+
 type noSlowReplicaFinder struct{}
 
 func (noSlowReplicaFinder) ReportSlow(string, string) {}
--- a/internal/mangorelay/retry.go
+++ b/internal/mangorelay/retry.go
@@ -36,6 +36,8 @@
 const (
 	// outcomeNoUpstream is the outcome of requests for which no chain or replica was left.
 	outcomeNoUpstream = "NoUpstream"
+	// outcomeRateLimited is the outcome of requests that could only have gone to replicas whose limits other requests use up.
+	outcomeRateLimited = "RateLimited"
 	// outcomeCrashesUpstreams is the outcome of requests that crash upstreams or were in flight on several crashed ones.
 	outcomeCrashesUpstreams = "CrashesUpstreams"
 	// outcomeBudgetSpent is the outcome of requests for which no retry budget was left.
@@ -79,6 +81,9 @@
 			return false
 		}
 		if !ok {
+			if c.overLimit {
+				return c.finishUndelivered(outcomeRateLimited, c.retryAfterOverLimit())
+			}
 			return c.finishUndelivered(outcomeNoUpstream, c.retryAfterNoTarget())
 		}
 		if c.sends == 0 && c.shouldShed(t) {
@@ -186,8 +191,12 @@
 	if c.started {
 		until, step = c.callerGivesUpAt(), resumePause
 	}
+	c.drawLimits()
 	for {
 		t, ok := c.chooseTarget()
+		if c.overLimit = !ok && !c.started && c.hasTargetOverLimit(); c.overLimit {
+			return t, false
+		}
 		if ok || !time.Now().Before(until) || ctx.Err() != nil {
 			return t, ok
 		}
@@ -199,6 +208,9 @@
 		sleep(ctx, step)
 		// Replicas that refused the request may have capacity by now.
 		clear(c.refusingReplicas)
+		if c.started {
+			c.drawLimits()
+		}
 	}
 }
 
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -48,6 +48,7 @@
 	c.suspicion = c.relay.crashes.Suspicion(c.suspectIdentity(), startedAt)
 	l := &silenceLimiter{call: c, target: t}
 	wait := mangoconn.NewReadWaiter(l.remainingWait)
+	c.relay.limiter.CountSend(t.first.Incarnation(), startedAt)
 	defer c.trackInFlight(t, func() {
 		l.replicaLost.Store(true)
 		wait.Wake()
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -87,9 +87,11 @@
 // cheapestChain returns the cheapest chain whose replicas have neither failed nor refused the request. If again is set,
 // it begins at a replica that may have run the request; otherwise none of its replicas may have run it.
 func (c *call) cheapestChain(view mangopipeline.View, again bool) (mangopipeline.Chain, error) {
-	request := mangopipeline.Request{Tokens: c.estimateTokens(), Exclude: c.isExcluded, Penalty: c.dataCentrePenalty, Random: c.relay.random}
+	request := mangopipeline.Request{
+		Tokens: c.estimateTokens(), Exclude: c.isExcluded, Penalty: c.dataCentrePenalty, Random: c.relay.random, CanBeFirst: c.draw.Allows,
+	}
 	if again {
-		request.CanBeFirst = func(id string) bool { return c.mayHaveRunOn[id] }
+		request.CanBeFirst = func(r mangoreplica.Incarnation) bool { return c.mayHaveRunOn[r.ID] && c.draw.Allows(r) }
 		request.Exclude = c.isUnusable
 	}
 	return mangopipeline.Choose(view, request)
@@ -127,7 +129,7 @@
 	var best *mangoreplica.Replica
 	least := 0.0
 	for _, r := range replicas {
-		if r.Draining || c.isExcluded(r.ID) || c.relay.health.Leaving(r.Incarnation()) || c.relay.health.Paused(r.Incarnation(), now) {
+		if r.Draining || c.isExcluded(r.ID) || !c.draw.Allows(r.Incarnation()) || c.relay.health.Leaving(r.Incarnation()) || c.relay.health.Paused(r.Incarnation(), now) {
 			continue
 		}
 		cost := c.relay.health.Utilisation(r.ID, r.Slots, now) + randomSpread*c.relay.random()
--- a/internal/mangoreplica/load.go
+++ b/internal/mangoreplica/load.go
@@ -10,16 +10,18 @@
 	// Requests is the number of requests in flight, and Tokens the sum of their tokens.
 	Requests int
 	Tokens   float64
+	// Demand is the number of requests a second that could be sent to the replica; 0 unless it names a limit.
+	Demand float64
 }
 
 // With returns the load with another one added.
 func (l Load) With(o Load) Load {
-	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens}
+	return Load{Requests: l.Requests + o.Requests, Tokens: l.Tokens + o.Tokens, Demand: l.Demand + o.Demand}
 }
 
 // without returns the load with another one taken away, but nothing below 0.
 func (l Load) without(o Load) Load {
-	return Load{Requests: max(l.Requests-o.Requests, 0), Tokens: max(l.Tokens-o.Tokens, 0)}
+	return Load{Requests: max(l.Requests-o.Requests, 0), Tokens: max(l.Tokens-o.Tokens, 0), Demand: max(l.Demand-o.Demand, 0)}
 }
 
 // OwnLoads returns the load that this daemon puts on replicas, by the id of the replica.
@@ -40,7 +42,7 @@
 func (h *HealthTracker) SetFleetLoad(total, reported map[string]Load, daemons int, at time.Time) {
 	others := make(map[string]Load, len(total))
 	for id, l := range total {
-		if rest := l.without(reported[id]); rest.Requests > 0 {
+		if rest := l.without(reported[id]); rest.Requests > 0 || rest.Demand > 0 {
 			others[id] = rest
 		}
 	}
@@ -49,6 +51,13 @@
 	h.others, h.othersAt, h.daemons = others, at, daemons
 }
 
+// OtherDemand returns the requests a second that the other daemons could send to a replica, as last known, and how old that is.
+func (h *HealthTracker) OtherDemand(id string, now time.Time) (perSecond float64, age time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.others[id].Demand, now.Sub(h.othersAt)
+}
+
 // Daemons returns the number of live daemons, as last known; 0 if it never was.
 func (h *HealthTracker) Daemons() int {
 	h.mu.Lock()
--- a/internal/mangoreplica/notice.go
+++ b/internal/mangoreplica/notice.go
@@ -19,6 +19,8 @@
 	// RetryAfter is the time for which a replica that refused a request wants no other one from this daemon; 0 if it did
 	// not say.
 	RetryAfter time.Duration
+	// RateLimit is the limit on requests that the replica named, if any.
+	RateLimit RateLimit
 }
 
 // MarkLeaving records that a replica says that it is leaving. This holds for as long as its process runs: only a later start
