Take no refusal of another request for one of this request

A replica that writes an earlier refusal once more, in front of an answer or in place of it, made the relay send the request to a second replica, although the first one ran it (TWICE), or tell the caller that it had not run (REFUSED). The relay compared the id of an answer with the request only for answers that are passed on. A refusal that names another request is now an invalid answer: the request may have run. Refusals without an id count as before; each request has a connection of its own, on which there is no earlier one.

--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -67,7 +67,7 @@
 	}
 	c.relay.handleNotice(t.first, answer.Notice, c.request.ID)
 	switch {
-	case answer.NotRun:
+	case answer.NotRun && c.isRefusalOfThis(answer):
 		return c.handleRefusal(t, answer, time.Since(startedAt))
 	case !c.isGenuine(answer):
 		c.mayHaveRunOn[t.first.ID] = true
@@ -86,6 +86,10 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
+// isRefusalOfThis reports whether a refusal is one of this request. A faulty replica may write that of an earlier request once
+// more, and run this one. Refusals need not name the request; on a new connection there is no earlier one.
+func (c *call) isRefusalOfThis(a AnswerHead) bool { return a.ID == "" || a.ID == c.request.ID }
+
 // isGenuine reports whether an answer has the upstream's seal and belongs to this request.
 func (c *call) isGenuine(a AnswerHead) bool { return a.Sealed && a.ID == c.request.ID }
 
