Let nothing but its rest follow the beginning of a stream

When a stream had begun and broke off, the answer of the next replica went to the caller whatever it was: a 4xx ended the stream as if it were complete (ORDER), an error above 256 KiB came with its whole head, and a success that is no stream was passed on where it had blank lines (MIXED). A started stream now goes on only with a success of the type that its head had; anything else is a failed send, after which it goes on elsewhere or is broken off.

TestErrorAfterStreamBegan plays eleven answers with raw bytes against a real daemon; seven of them failed before.

--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -73,6 +73,8 @@
 	failedAnswer *bufferedAnswer
 	// started says that the head of the answer has been written to the caller.
 	started bool
+	// streamType is the Content-Type of that head.
+	streamType string
 	// firstEventDelay is the time from the arrival of the request to the first event.
 	firstEventDelay time.Duration
 	// lastEventAt is when events were last passed on, and longestGap the longest gap between two such times.
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -78,6 +78,11 @@
 	}
 	c.mayHaveRunOn[t.first.ID] = true
 	c.relay.clearOutage(t.first, c.request.ID)
+	if c.started && !c.continuesStream(answer) {
+		c.failedReplicas[t.first.ID] = true
+		c.relay.health.RecordResult(t.first.Incarnation(), true, time.Now())
+		return resultFailed
+	}
 	if c.route.Kind == mangoroute.Stream && isSuccess(answer.Status) {
 		return c.streamAnswer(callerCtx, deadlineCtx, t, answer, response, wait)
 	}
@@ -93,6 +98,12 @@
 // isGenuine reports whether an answer has the upstream's seal and belongs to this request.
 func (c *call) isGenuine(a AnswerHead) bool { return a.Sealed && a.ID == c.request.ID }
 
+// continuesStream reports whether an answer is the rest of the stream that the caller has a part of: a success of the same type.
+// Nothing of another answer may reach the caller then.
+func (c *call) continuesStream(a AnswerHead) bool {
+	return isSuccess(a.Status) && a.Header.Get("Content-Type") == c.streamType
+}
+
 // upstreamRequest returns the request as it is sent to a target.
 func (c *call) upstreamRequest(t target) UpstreamRequest {
 	u := UpstreamRequest{
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -132,7 +132,7 @@
 
 // writeHead writes the status and header of an answer; length is negative if it is not known.
 func (c *call) writeHead(a AnswerHead, length int) {
-	c.started, c.status = true, a.Status
+	c.started, c.status, c.streamType = true, a.Status, a.Header.Get("Content-Type")
 	header := c.writer.Header()
 	maps.Copy(header, a.Header)
 	if length >= 0 {
