--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,68 +25,11 @@
 	checkInterval = 150 * time.Millisecond
 	// healthCheckInterval is the least time between two health requests to one replica.
 	healthCheckInterval = time.Second
-	// maxLogged bounds the fingerprints, and the parts, in one log line.
-	maxLogged = 64
 	// holdLeaving is how long a replica that says that it is leaving is avoided; afterwards it is asked again when it
 	// refuses another request.
 	holdLeaving = 3 * time.Second
 )
 
-// checkLimiter enforces a least time between two checks of the same replica.
-type checkLimiter struct {
-	mu       sync.Mutex
-	interval time.Duration
-	last     map[mangoreplica.Incarnation]time.Time
-	// reserved has the channels of the checks that have been reserved and have not started.
-	reserved map[mangoreplica.Incarnation]chan struct{}
-}
-
-func newCheckLimiter(interval time.Duration) *checkLimiter {
-	return &checkLimiter{interval: interval, last: map[mangoreplica.Incarnation]time.Time{}, reserved: map[mangoreplica.Incarnation]chan struct{}{}}
-}
-
-// reserve returns the channel that is closed when the next check of a replica ends, and the time until that check may start. It
-// reports whether the caller has to start it; else it has been reserved before.
-func (l *checkLimiter) reserve(r mangoreplica.Incarnation, now time.Time) (end chan struct{}, delay time.Duration, isNew bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if end, ok := l.reserved[r]; ok {
-		return end, 0, false
-	}
-	end = make(chan struct{})
-	l.reserved[r] = end
-	return end, max(l.interval-now.Sub(l.last[r]), 0), true
-}
-
-// start records the start of a reserved check.
-func (l *checkLimiter) start(r mangoreplica.Incarnation, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.reserved, r)
-	l.record(r, now)
-}
-
-// record remembers when a replica was checked, and forgets old checks. The caller holds l.mu.
-func (l *checkLimiter) record(r mangoreplica.Incarnation, now time.Time) {
-	for k, at := range l.last {
-		if now.Sub(at) > time.Minute {
-			delete(l.last, k)
-		}
-	}
-	l.last[r] = now
-}
-
-// allow reports whether a replica may be checked now, and if so records the check.
-func (l *checkLimiter) allow(r mangoreplica.Incarnation, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.last[r]) < l.interval {
-		return false
-	}
-	l.record(r, now)
-	return true
-}
-
 // checkChain checks in the background whether all replicas of a silent chain still accept connections.
 func (r *Relay) checkChain(t target, requestID string) {
 	if !r.chainChecks.allow(t.first.Incarnation(), time.Now()) {
@@ -248,62 +187,3 @@
 func (r *Relay) CheckReplica(replica *mangoreplica.Replica) {
 	r.checkConnection(replica, "")
 }
-
-// crashCandidates returns the requests that pass through a replica, one of which may crash it; none if the replica is
-// leaving, as its end is planned. They are taken before a check, because requests leave a crashed replica while the check
-// runs.
-func (r *Relay) crashCandidates(replica *mangoreplica.Replica) []mangocrash.InFlight {
-	if r.isLeaving(replica) {
-		return nil
-	}
-	return r.inFlight.candidates(replica.Incarnation(), time.Now())
-}
-
-// isLeaving reports whether a replica is draining by its entry or has said that it is leaving.
-func (r *Relay) isLeaving(replica *mangoreplica.Replica) bool {
-	if entry := r.state.View().Fleet.ByID(replica.ID); entry != nil && entry.Draining {
-		return true
-	}
-	return r.health.Outages(time.Now())[replica.Incarnation()].Cause.Planned()
-}
-
-// reportCrash reports the requests that were in flight on a replica when it crashed. The replicas of one service in one data
-// centre are a group: a request passes through many of them, and all of them are lost together in a power or network failure.
-func (r *Relay) reportCrash(replica *mangoreplica.Replica, candidates []mangocrash.InFlight) {
-	if len(candidates) == 0 {
-		return
-	}
-	id := mangocrash.NewGroupCrashID(replica.DataCentre+"/"+replica.Service, replica.ID+"/"+strconv.FormatInt(replica.Born, 10))
-	if !r.crashes.ReportInFlight(id, candidates, time.Now()) {
-		return
-	}
-	r.peers.ReportCrash()
-	r.RecheckSuspects()
-	var fingerprints, parts []string
-	notBegun := 0
-	for _, c := range candidates {
-		fingerprints = append(fingerprints, c.Fingerprint)
-		if len(c.Parts) > 0 {
-			notBegun++
-			parts = append(parts, c.Parts...)
-		}
-	}
-	slices.Sort(parts)
-	r.logger.WithFields(logrus.Fields{
-		"event": "crash_reported", "replica": replica.ID, "address": replica.Address, "data_centre": replica.DataCentre,
-		"requests": len(candidates), "fingerprints": joinBounded(fingerprints), "not_begun": notBegun, "parts": joinBounded(slices.Compact(parts)),
-	}).Warn("replica crashed with requests in flight")
-}
-
-// withoutParts returns the requests without the parts of their prompts: only the end of a process shows that an answer crashed
-// it, while a request may be known to crash replicas in other ways.
-func withoutParts(candidates []mangocrash.InFlight) []mangocrash.InFlight {
-	list := make([]mangocrash.InFlight, len(candidates))
-	for i, c := range candidates {
-		list[i].Fingerprint = c.Fingerprint
-	}
-	return list
-}
-
-// joinBounded joins the first maxLogged values of a list.
-func joinBounded(list []string) string { return strings.Join(list[:min(len(list), maxLogged)], ",") }
