Let the trial of a refused part run to its answer

A request that is let through to try a refused part was withdrawn at the first look of its silence limit, since the part is refused: the trial could not free a part that had been refused by mistake.

--- a/internal/mangocrash/doc.go
+++ b/internal/mangocrash/doc.go
@@ -17,7 +17,7 @@
 // What a request shares with others may be guilty as well. Requests with parts are reported and checked as a whole:
 //
 //	tracker.ReportInFlight(mangocrash.NewGroupCrashID(dataCentre, start), inFlight, now)
-//	if refusal, refused := tracker.Admit(request, now); refused {
+//	if refusal, refused, isTrial := tracker.Admit(request, now); refused {
 //		// refuse it, and say when to come back by refusal.RetryAfter
 //	}
 //	tracker.Begin(request.Parts, now) // an answer has begun safely
--- a/internal/mangocrash/part_test.go
+++ b/internal/mangocrash/part_test.go
@@ -180,7 +180,7 @@
 				now = now.Add(time.Second)
 				tried := 0
 				for i, tracker := range trackers {
-					if _, refused := tracker.Admit(Request{Parts: []string{"part"}, Fingerprint: "new"}, now); !refused && !freed {
+					if _, refused, _ := tracker.Admit(Request{Parts: []string{"part"}, Fingerprint: "new"}, now); !refused && !freed {
 						is.True(names[i] != "other")
 						tried++
 					}
--- a/internal/mangocrash/refuse.go
+++ b/internal/mangocrash/refuse.go
@@ -49,21 +49,22 @@
 }
 
 // Admit is like Refuse for a request that has not run yet. It lets through the request that is to show whether its blocked
-// fingerprint still crashes upstreams.
-func (t *CrashTracker) Admit(r Request, now time.Time) (Refusal, bool) {
+// fingerprint still crashes upstreams, and reports that as a trial: Refuse goes on to refuse it.
+func (t *CrashTracker) Admit(r Request, now time.Time) (refusal Refusal, refused, isTrial bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	refusal, refused := t.refuse(r, now, func(fingerprint string) bool { return t.trialDue(fingerprint, now) })
+	refusal, refused = t.refuse(r, now, func(fingerprint string) bool { return t.trialDue(fingerprint, now) })
 	if refused {
-		return refusal, true
+		return refusal, true, false
 	}
 	for _, f := range r.fingerprints() {
 		if verdict, _ := t.evaluate(f, now); verdict == Blocked {
+			isTrial = true
 			t.triedAt[f] = now
 			t.onVerdict(Change{Fingerprint: f, Event: Tried, Crashes: len(t.unexpired(f, now))})
 		}
 	}
-	return Refusal{}, false
+	return Refusal{}, false, isTrial
 }
 
 // refuse returns the refusal for the first fingerprint of a request that is held, or blocked and not excepted.
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -101,6 +101,8 @@
 	refusedByReplica string
 	// suspicion is the number of crashes that counted against a part of the prompt at the last send.
 	suspicion int
+	// isTrial says that the request runs to show whether it still crashes replicas.
+	isTrial bool
 	// refusal is why the request was refused as one that crashes replicas.
 	refusal mangocrash.Refusal
 }
@@ -158,8 +160,8 @@
 	c.deadline = c.computeDeadline()
 	c.relay.budget.CountRequest(c.serviceName, time.Now())
 	c.identity = c.computeIdentity()
-	if refusal, refused := c.relay.crashes.Admit(c.identity, time.Now()); refused {
-		c.refusal = refusal
+	var refused bool
+	if c.refusal, refused, c.isTrial = c.relay.crashes.Admit(c.identity, time.Now()); refused {
 		c.writeRefusal(outcomeCrashesUpstreams, http.StatusServiceUnavailable, c.retryAfterSuspicion())
 		return false
 	}
--- a/internal/mangorelay/suspicion.go
+++ b/internal/mangorelay/suspicion.go
@@ -66,7 +66,7 @@
 // withdrawn reports whether the answer has not begun and the request must not run any more, since it has been found to crash
 // replicas after it was sent.
 func (c *call) withdrawn() bool {
-	return !c.started && len(c.identity.Parts) > 0 && c.isRefusedAsCrashing()
+	return !c.started && !c.isTrial && len(c.identity.Parts) > 0 && c.isRefusedAsCrashing()
 }
 
 // RecheckSuspects makes the requests in flight that have not begun look whether they are known to crash replicas. It never
