Review case 4: a leaving replica gets requests after a change of hubs

Shown: DRAIN. A daemon that failed to read the store in an outage takes each later change of hubs for another outage, and keeps removed entries for 2.2 s and more. How: a script with three daemons; the store is down for 4.5 s, ten seconds later the hub stops and replicas leave.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -66,16 +66,22 @@
 		return o
 	}
 	_ = c.SetReadDeadline(begun.Add(timeout + time.Second))
-	request := &http.Request{Method: method}
-	response, err := http.ReadResponse(c.reader, request)
+	o = readAnswer(c, method, o)
+	o.took = time.Since(begun)
+	return o
+}
+
+// readAnswer reads the answer to a request and adds it to its outcome.
+func readAnswer(c *clientConn, method string, o outcome) outcome {
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		o.err, o.took = err, time.Since(begun)
+		o.err = err
 		return o
 	}
 	defer func() { _ = response.Body.Close() }()
 	o.status = response.StatusCode
 	n, err := io.Copy(io.Discard, response.Body)
-	o.bytes, o.err, o.whole, o.took = int(n), err, err == nil, time.Since(begun)
+	o.bytes, o.err, o.whole = int(n), err, err == nil
 	return o
 }
 
--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -19,12 +19,17 @@
 const (
 	// startTime bounds the time until a daemon is ready.
 	startTime = 20 * time.Second
+	// startAttempts bounds the attempts to start a daemon.
+	startAttempts = 4
 	// zoneName is the zone of all daemons and replicas.
 	zoneName = "z1"
 	// readyPoll is the time between two questions whether it is.
 	readyPoll = 50 * time.Millisecond
 )
 
+// errEnded means that a daemon ended before it was ready.
+var errEnded = errors.New("the daemon has ended before it was ready")
+
 // daemon is a running process of the role of the deploy file.
 type daemon struct {
 	name string
@@ -84,8 +89,19 @@
 	return list, nil
 }
 
-// startDaemon starts a daemon and waits until it is ready.
+// startDaemon starts a daemon and waits until it is ready. It tries again with other addresses if one of them has been taken in
+// the meantime, so that the daemon ends at once.
 func (w *world) startDaemon(ctx context.Context, name string) (*daemon, error) {
+	for range startAttempts - 1 {
+		if d, err := w.startOnce(ctx, name); !errors.Is(err, errEnded) {
+			return d, err
+		}
+	}
+	return w.startOnce(ctx, name)
+}
+
+// startOnce starts a daemon on free addresses and waits until it is ready.
+func (w *world) startOnce(ctx context.Context, name string) (*daemon, error) {
 	addresses, err := freeAddresses(ctx, 4)
 	if err != nil {
 		return nil, err
@@ -145,8 +161,12 @@
 			w.note("%s is ready", d.name)
 			return nil
 		}
-		if !sleep(ctx, readyPoll) {
+		select {
+		case <-d.ended:
+			return errEnded
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-time.After(readyPoll):
 		}
 	}
 	return errors.New(d.name + " is not ready in time")
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,48 +11,100 @@
 	"time"
 )
 
-// playDrain removes the entry of a replica just after the hub that a daemon follows has ended.
+// startHubs starts three daemons and waits until two of them hold a seat each.
+func (w *world) startHubs(ctx context.Context) error {
+	started := 0
+	start := func() error {
+		started++
+		_, err := w.startDaemon(ctx, fmt.Sprintf("edge-z1-%d", started))
+		return err
+	}
+	for range 3 {
+		if err := start(); err != nil {
+			return err
+		}
+	}
+	for range 4 {
+		sleep(ctx, 4*time.Second)
+		hub, second, _ := w.hubs()
+		switch {
+		case hub == nil || second == nil:
+			continue
+		case hub != second:
+			return nil
+		}
+		w.note("%s has taken both seats; it is replaced before the case begins", hub.name)
+		w.signal(hub, syscall.SIGTERM)
+		<-hub.ended
+		if err := start(); err != nil {
+			return err
+		}
+	}
+	return errors.New("no two daemons hold a seat each")
+}
+
+// hubs returns the daemons that hold the two seats, and the running one that holds none.
+func (w *world) hubs() (hub, second, follower *daemon) {
+	seats := w.store.keysWith("mangopath/hub/" + zoneName + "/")
+	w.note("hubs: %v", seats)
+	for _, d := range w.daemons {
+		select {
+		case <-d.ended:
+			continue
+		default:
+		}
+		holds := func(seat string) bool {
+			return strings.HasPrefix(seats["mangopath/hub/"+zoneName+"/"+seat], d.name+"/")
+		}
+		if holds("0") {
+			hub = d
+		}
+		if holds("1") {
+			second = d
+		}
+		if !holds("0") && !holds("1") {
+			follower = d
+		}
+	}
+	return hub, second, follower
+}
+
+// playDrain has a replica leave while the hub that a daemon follows is stopped. The disruption is an outage of the store, which has
+// been over for ten seconds by then.
 func playDrain(ctx context.Context, w *world) ([]string, error) {
-	const drainTime = 2 * time.Second
+	const (
+		drainTime = 2 * time.Second
+		// replicas is the number of replicas, of which leavers leave, leaveGap one after the other.
+		replicas = 40
+		leavers  = 6
+		leaveGap = 150 * time.Millisecond
+		outage   = 4500 * time.Millisecond
+	)
 	w.configure([]map[string]any{w.route("/claim/", "non_idempotent", "site", 1, 1500*time.Millisecond, 500*time.Millisecond)}, "site")
-	var leaving *replica
-	for i := range 2 {
+	var leaving []*replica
+	for i := range replicas {
 		r, err := w.startReplica(ctx, fmt.Sprintf("i-site-%d", i), "site", answerAfter(15*time.Millisecond))
 		if err != nil {
 			return nil, err
 		}
-		leaving = r
-	}
-	var daemons []*daemon
-	for i := range 3 {
-		d, err := w.startDaemon(ctx, fmt.Sprintf("edge-z1-%d", i+1))
-		if err != nil {
-			return nil, err
+		if i < leavers {
+			leaving = append(leaving, r)
 		}
-		daemons = append(daemons, d)
 	}
-	sleep(ctx, 5*time.Second)
+	if err := w.startHubs(ctx); err != nil {
+		return nil, err
+	}
 	if w.trouble {
 		w.note("the store refuses all calls with 503")
 		w.store.setDown(true)
-		sleep(ctx, 4500*time.Millisecond)
+		sleep(ctx, outage)
 		w.store.setDown(false)
 		w.note("the store is back")
 	}
 	sleep(ctx, 10*time.Second)
-	seats := w.store.keysWith("mangopath/hub/")
-	w.note("hubs: %v", seats)
-	var hub, follower *daemon
-	for _, d := range daemons {
-		switch {
-		case strings.HasPrefix(seats["mangopath/hub/"+zoneName+"/0"], d.name+"/"):
-			hub = d
-		case !strings.HasPrefix(seats["mangopath/hub/"+zoneName+"/1"], d.name+"/"):
-			follower = d
-		}
-	}
-	if hub == nil || follower == nil {
-		return nil, fmt.Errorf("no hub and follower: %v", seats)
+	hub, second, follower := w.hubs()
+	if hub == nil || second == nil || follower == nil {
+		return nil, errors.New("the zone has no two hubs and one daemon that follows them")
 	}
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
@@ -60,7 +113,7 @@
 	var group sync.WaitGroup
 	for range 10 {
 		group.Go(func() {
-			for sleep(sending, 30*time.Millisecond) {
+			for sleep(sending, 10*time.Millisecond) {
 				at := time.Now()
 				c, err := connect(ctx, follower)
 				if err != nil {
@@ -75,18 +128,21 @@
 		})
 	}
 	sleep(ctx, time.Second)
-	if w.trouble {
-		w.signal(hub, syscall.SIGKILL)
+	w.signal(hub, syscall.SIGTERM)
+	leftAt := map[*replica]time.Time{}
+	for _, r := range leaving {
+		sleep(ctx, leaveGap)
+		leftAt[r] = w.leave(r)
 	}
-	sleep(ctx, 300*time.Millisecond)
-	left := w.leave(leaving)
-	sleep(ctx, 4*time.Second)
+	sleep(ctx, 8*time.Second)
 	stop()
 	group.Wait()
 	var broken []string
-	for _, a := range leaving.ran() {
-		if late := sentAt[a.id].Sub(left); late > drainTime {
-			broken = append(broken, fmt.Sprintf("DRAIN: %s was sent %d ms after the entry of %s was removed", a.id, late.Milliseconds(), leaving.id))
+	for _, r := range leaving {
+		for _, a := range r.ran() {
+			if late := sentAt[a.id].Sub(leftAt[r]); late > drainTime {
+				broken = append(broken, fmt.Sprintf("DRAIN: %s was sent %d ms after the entry of %s was removed", a.id, late.Milliseconds(), r.id))
+			}
 		}
 	}
 	return broken, nil
