--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -76,7 +78,9 @@
 		fmt.Fprintln(os.Stderr, "no such case:", name)
 		return notRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), caseTime)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, caseTime)
 	defer cancel()
 	w, err := newWorld(ctx, folder)
 	if err != nil {
@@ -85,6 +89,10 @@
 	}
 	defer func() { _ = os.RemoveAll(w.folder) }()
 	broken, err := run(ctx, w)
+	if err == nil {
+		// An error means that the case was stopped or took too long.
+		err = ctx.Err()
+	}
 	// The end of the context kills the daemons that still run.
 	cancel()
 	for _, d := range w.daemons {
--- a/review/standin/odd.go
+++ b/review/standin/odd.go
@@ -10,7 +10,7 @@
 
 // playOdd has another writer replace the entry of a replica by one that lacks most fields and names another service.
 func playOdd(ctx context.Context, w *world) ([]string, error) {
-	const clients, rounds = 4, 60
+	const clients, rounds = 4, 80
 	w.configure([]map[string]any{
 		w.route("/claim/", "non_idempotent", "site", 1, 1500*time.Millisecond, 500*time.Millisecond),
 		w.route("/photo/", "idempotent", "photos", 2, 1500*time.Millisecond, 500*time.Millisecond),
@@ -46,7 +46,9 @@
 			}
 		})
 	}()
-	sleep(ctx, 1300*time.Millisecond)
+	// The odd entry stands until the replica writes its own again, so it is written just after that.
+	for beats := photos.beats.Load(); photos.beats.Load() == beats && sleep(ctx, time.Millisecond); {
+	}
 	if w.trouble {
 		w.note("another writer replaces the entry of %s by one without version, slots, sequence, warmupLeftMs and born, for service site", photos.id)
 		w.store.set(w.names.Replicas+photos.id, map[string]any{"service": "site", "address": photos.address, "zone": zoneName, "state": "ready"})
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -20,8 +20,10 @@
 	born                 int64
 	slots                int
 	running              atomic.Int64
-	handler              func(w http.ResponseWriter, r *http.Request)
-	beating              context.CancelFunc
+	// beats counts the writes of its entry.
+	beats   atomic.Int64
+	handler func(w http.ResponseWriter, r *http.Request)
+	beating context.CancelFunc
 
 	mu sync.Mutex
 	// arrivals has the requests that were run, in order.
@@ -46,16 +48,17 @@
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	beatCtx, stop := context.WithCancel(ctx)
 	r.beating = stop
-	beat := func(n int) {
+	beat := func() {
 		w.store.set(w.names.Replicas+id, map[string]any{
 			"service": service, "address": r.address, "zone": zoneName, "version": 1, "slots": r.slots, "state": "ready", "warmupLeftMs": 0,
-			"sequence": n, "born": r.born,
+			"sequence": r.beats.Load() + 1, "born": r.born,
 		})
+		r.beats.Add(1)
 	}
-	beat(1)
+	beat()
 	go func() {
-		for n := 2; sleep(beatCtx, heartbeat); n++ {
-			beat(n)
+		for sleep(beatCtx, heartbeat) {
+			beat()
 		}
 	}()
 	return r, nil
