Review case 2: a stopping daemon passes requests on whose connections it has closed

Shown: LOST under a SIGTERM only. closeIdle closes kept connections whose request the server has read but not yet reported, and the request runs all the same, after its client has lost the connection. How: a script that stops seven daemons in turn, each with 800 kept connections.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -16,7 +16,7 @@
 // cases returns the cases by name.
 func cases() map[string]playCase {
 	return map[string]playCase{
-		"reload": playReload, "late": playLate, "large": playLarge, "slashes": playSlashes, "drain": playDrain, "odd": playOdd,
+		"reload": playReload, "close": playClose, "late": playLate, "slashes": playSlashes, "drain": playDrain, "odd": playOdd,
 	}
 }
 
