Catch a relay's signals up to the end of its process

Cause: the daemon stopped catching SIGHUP when its stop began, so the kernel's default action ended the process. The same held before the signals were caught, and for SIGTERM and SIGINT after the daemon had ended. No default action is left from there to the exit, in whatever order and number signals come.

--- a/cmd/mangopath/relay.go
+++ b/cmd/mangopath/relay.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -13,13 +10,15 @@
 	"mangopath.org/mangopath/internal/mangoentry"
 	"mangopath.org/mangopath/internal/mangolog"
 	"mangopath.org/mangopath/internal/mangosetting"
+	"mangopath.org/mangopath/internal/mangosignal"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
 func relayCommand() *cli.Command {
 	return &cli.Command{
 		Name: "relay", Usage: "run the relay daemon of an entry host on the platform",
-		Description: `SIGTERM drains the host and ends the program with status 0; SIGHUP reloads the settings.
+		Description: `SIGTERM or SIGINT drains the host and ends the program with status 0; SIGHUP reloads the settings, also while the host
+drains. Further signals do not end the drain.
 
 Example: mangopath relay -c /etc/mangopath/relay.ini`,
 		Flags: []cli.Flag{&cli.StringFlag{
@@ -29,8 +28,10 @@
 	}
 }
 
-// relay runs the relay daemon until SIGTERM or SIGINT, with a log that does not block the daemon.
+// relay runs the relay daemon until SIGTERM or SIGINT, with a log that does not block the daemon. Signals are caught from here
+// to the end of the process.
 func relay(ctx context.Context, c *cli.Command) error {
+	signals := mangosignal.Catch()
 	if _, err := positionalArgs(c, 0, 0); err != nil {
 		return err
 	}
@@ -47,52 +48,33 @@
 	if err != nil {
 		return err
 	}
-	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		// Run only returns when its context ends, so the error says nothing more.
-		_ = logWriter.Run(writing)
-	}()
-	defer func() {
-		stopWriting()
-		<-written
-	}()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	defer runInBackground(context.WithoutCancel(ctx), logWriter.Run)()
 	daemon, err := mangoentry.Initialize(settings, logger, logWriter)
 	if err != nil {
 		return err
 	}
-	reloading := make(chan struct{})
-	go func() {
-		defer close(reloading)
-		reloadOnSignal(ctx, daemon, path, logger)
-	}()
-	err = daemon.Run(ctx)
-	stop()
-	<-reloading
-	return err
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	reloads := newReloader(path, daemon.Reload, logger)
+	defer runInBackground(context.WithoutCancel(ctx), reloads.Run)()
+	defer runInBackground(context.WithoutCancel(ctx), func(ctx context.Context) error {
+		return signals.Run(ctx, stop, reloads.request, mangosignal.WithLogger(logger))
+	})()
+	return daemon.Run(ctx)
 }
 
-// reloadOnSignal reloads the settings file on each SIGHUP until the context ends. Invalid settings are logged and not
-// applied.
-func reloadOnSignal(ctx context.Context, daemon *mangoentry.Daemon, path string, logger *logrus.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			settings, err := mangosetting.LoadRelay(path)
-			if err != nil {
-				logger.WithField("event", "settings_refused").WithError(err).Error("settings file is invalid; the settings in force stay")
-				continue
-			}
-			daemon.Reload(settings)
-		}
+// runInBackground runs f, which ends with its context, and returns a function that ends it and waits for its end.
+func runInBackground(ctx context.Context, f func(ctx context.Context) error) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// The error only says that the context has ended.
+		_ = f(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
 	}
 }
 
--- a/cmd/mangopath/serve.go
+++ b/cmd/mangopath/serve.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"mangopath.org/mangopath/internal/mangosetting"
+	"mangopath.org/mangopath/internal/mangosignal"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -17,6 +16,7 @@
 	return &cli.Command{
 		Name: "serve", Usage: "run the daemon of an entry host",
 		Description: `The first SIGTERM or SIGINT drains the host and ends the program with status 0; a second one ends it immediately.
+SIGHUP changes nothing: new settings need a restart.
 
 Example: mangopath serve -c /etc/mangopath/mangopath.ini`,
 		Flags:  []cli.Flag{settingsFlag()},
@@ -31,6 +31,7 @@
 
 // serve runs the daemon until the first SIGTERM or SIGINT has drained it.
 func serve(ctx context.Context, c *cli.Command) error {
+	signals := mangosignal.Catch()
 	if _, err := positionalArgs(c, 0, 0); err != nil {
 		return err
 	}
@@ -46,10 +47,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	// Restores the default action of the signals, so that a second one ends the program immediately.
-	context.AfterFunc(ctx, stop)
+	ignoreReload := func() {
+		logger.WithField("event", "reload_unsupported").Warn("settings are not read again; a change needs a restart")
+	}
+	defer runInBackground(context.WithoutCancel(ctx), func(ctx context.Context) error {
+		return signals.Run(ctx, stop, ignoreReload, mangosignal.WithLogger(logger), mangosignal.WithSecondStopFatal())
+	})()
 	return runDaemon(ctx, settings, logger)
 }
 
