Answer what a stopping daemon has accepted, up to the end of its grace period

Cause: the drain looked at running requests only and ended when there was none; all connections that had been accepted then had 500 ms together, for sending their request and for its answer. Requests that still ran at the end lost their connection. Change: the drain also waits for connections that may still send a request (new, head or body begun), up to 1.2 s, or a sixth, before the end of the grace period. Then each request that still runs gets a complete answer: 502 if a replica may have run it, 408 if its body is not whole, else 503. Why it works: no connection is closed while a request may be on it, and no request is passed on from a closed one. Tests: TestAcceptedConnectionIsServed is now a table of the states of a connection; it keeps the old case. TestIdleConnectionsClose takes its requests as the daemon does.

--- a/internal/mangoentry/caller_conns.go
+++ b/internal/mangoentry/caller_conns.go
@@ -1,83 +1,80 @@
 package mangoentry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
-// callerConns tracks the callers' connections: those on which no request is being served, and how many others there are.
+// callerConns tracks the callers' connections, so that a stop closes those that carry no request and waits for the others.
 type callerConns struct {
-	mu   sync.Mutex
-	idle map[net.Conn]struct{}
-	// busy are connections that were accepted and have not sent a request yet, and those whose request is being served.
-	busy map[net.Conn]struct{}
+	mu sync.Mutex
+	// states has the open connections with their states as the HTTP server sees them.
+	states map[*callerConn]http.ConnState
 }
 
-func newCallerConns() *callerConns {
-	return &callerConns{idle: map[net.Conn]struct{}{}, busy: map[net.Conn]struct{}{}}
+func newCallerConns() *callerConns { return &callerConns{states: map[*callerConn]http.ConnState{}} }
+
+// trackServer makes a server that serves a listener of this type report its connections.
+func (c *callerConns) trackServer(server *http.Server) {
+	server.ConnState = c.trackState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, callerConnKey{}, conn)
+	}
 }
 
 // trackState records a state change of a connection. It is the ConnState hook of the HTTP server.
 func (c *callerConns) trackState(conn net.Conn, state http.ConnState) {
+	tracked, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.idle, conn)
-	delete(c.busy, conn)
-	switch state {
-	case http.StateIdle:
-		c.idle[conn] = struct{}{}
-	case http.StateNew, http.StateActive:
-		c.busy[conn] = struct{}{}
-	case http.StateHijacked, http.StateClosed:
+	if state == http.StateHijacked || state == http.StateClosed {
+		delete(c.states, tracked)
+		return
 	}
+	c.states[tracked] = state
 }
 
-// busyCount returns the number of connections that may still get an answer.
-func (c *callerConns) busyCount() int {
+// pending returns the number of connections whose caller may still wait for an answer: those that were accepted and have not
+// sent a request yet, those on which a request has begun to arrive, and those whose request is being served.
+func (c *callerConns) pending() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.busy)
+	n := 0
+	for conn, state := range c.states {
+		if state != http.StateIdle || conn.hasBegun() {
+			n++
+		}
+	}
+	return n
 }
 
 // closeIdle closes the idle connections on which no request has begun to arrive, and returns their number. Their callers open
-// new ones, which the load balancer sends to daemons that are not stopping; requests on the old ones would be refused.
+// new ones, which the load balancer sends to daemons that are not stopping; requests on the old ones could be refused.
 func (c *callerConns) closeIdle() int {
+	return c.closeQuiet(func(state http.ConnState) bool { return state == http.StateIdle })
+}
+
+// closeUnused closes all connections on which no request has begun to arrive, those that have just been accepted too, and
+// returns their number.
+func (c *callerConns) closeUnused() int {
+	return c.closeQuiet(func(state http.ConnState) bool { return state != http.StateActive })
+}
+
+// closeQuiet closes the connections in matching states on which no request has begun to arrive, and returns their number.
+func (c *callerConns) closeQuiet(matches func(http.ConnState) bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for conn := range c.idle {
-		if hasUnreadBytes(conn) {
-			// Closing the connection now would reset it, and its caller would get no answer.
-			continue
+	for conn, state := range c.states {
+		if matches(state) && conn.closeIfQuiet() {
+			delete(c.states, conn)
+			n++
 		}
-		n++
-		// An error means that the caller has closed the connection meanwhile, which is fine.
-		_ = conn.Close()
-		delete(c.idle, conn)
 	}
 	return n
 }
-
-// hasUnreadBytes reports whether bytes have arrived on a connection that the server has not read yet.
-func hasUnreadBytes(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waiting := false
-	// Control fails only if the connection is closed.
-	_ = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = err == nil && n > 0
-	})
-	return waiting
-}
--- a/internal/mangoentry/caller_conns_test.go
+++ b/internal/mangoentry/caller_conns_test.go
@@ -17,12 +17,14 @@
 	conns := newCallerConns()
 	release := make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		callerConnOf(r.Context()).takeRequest()
 		if r.URL.Path == "/slow" {
 			<-release
 		}
 		_, _ = io.WriteString(w, "done")
 	}))
-	server.Config.ConnState = conns.trackState
+	conns.trackServer(server.Config)
+	server.Listener = callerListener{server.Listener}
 	server.Start()
 	defer server.Close()
 	get := func(path string) (string, error) {
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -29,23 +29,9 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-const (
-	// deregistrationTime is the time within which the load balancer notices that this daemon is not ready: it makes two checks,
-	// a second apart. After it the load balancer sends callers here only if other daemons of the data centre are down, too.
-	deregistrationTime = 2300 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the process to exit after draining.
-	exitMargin = 1200 * time.Millisecond
-	// minRequestTime is the time before the end of draining from which no request is accepted. Plain requests take much less.
-	minRequestTime = 1200 * time.Millisecond
-	// drainPollInterval is the time between two checks whether draining is complete.
-	drainPollInterval = 50 * time.Millisecond
-	// lastConnectionTime is the time after draining in which connections that have just been accepted may still send their
-	// request and get its answer.
-	lastConnectionTime = 500 * time.Millisecond
-	// memoryLimitFraction is the fraction of the host's memory that is set as the soft memory limit of the Go runtime, above
-	// which it collects garbage more often.
-	memoryLimitFraction = 0.8
-)
+// memoryLimitFraction is the fraction of the host's memory that is set as the soft memory limit of the Go runtime, above
+// which it collects garbage more often.
+const memoryLimitFraction = 0.8
 
 // Daemon holds the components of a daemon and runs them.
 type Daemon struct {
@@ -123,7 +109,7 @@
 	defer stopDuties()
 	callers, readiness, metrics := newServer(d.logger), newServer(d.logger), newServer(d.logger)
 	conns := newCallerConns()
-	callers.ConnState = conns.trackState
+	conns.trackServer(callers)
 	readiness.Handler, metrics.Handler = readinessHandler(d.isReady), metricsHandler(d.registry)
 	ended := make(chan componentExit)
 	running := 0
@@ -148,7 +134,7 @@
 	run("peers", func() error { return peerServer.Serve(componentCtx, listeners.peers) })
 	run("readiness", func() error { return readiness.Serve(listeners.readiness) })
 	run("metrics", func() error { return metrics.Serve(listeners.metrics) })
-	run("callers", func() error { return d.ingress.serve(componentCtx, callers, listeners.callers) })
+	run("callers", func() error { return d.ingress.serve(componentCtx, callers, callerListener{listeners.callers}) })
 	d.logger.WithFields(logrus.Fields{
 		"event": "started", "host": d.self.Name, "data_centre": d.settings.GetHost().GetDataCentre(),
 		"callers": d.settings.GetIngress().GetAddress(), "peers": d.self.Address, "metrics": d.settings.GetIngress().GetMetricsAddress(),
@@ -158,12 +144,10 @@
 	for failed == nil {
 		select {
 		case <-stopping:
-			limit := d.drainLimit()
-			d.lifecycle.beginShutdown(time.Now().Add(min(deregistrationTime, limit)), time.Now().Add(limit-minRequestTime))
+			d.lifecycle.beginShutdown(shutdownPlan(time.Now(), milliseconds(d.settings.GetBounds().GetGracePeriod())))
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.lifecycle.activeRequests.Load()}).Info("the daemon is stopping")
 			stopDuties()
-			d.drain(conns)
-			shutdown(listeners.callers, conns)
+			d.drain(conns, listeners.callers)
 			failed = ctx.Err()
 		case c := <-ended:
 			running--
@@ -186,39 +170,6 @@
 	return failed
 }
 
-// drain waits, within the grace period, until the load balancer sends no more callers and all requests are answered. It
-// closes idle connections meanwhile.
-func (d *Daemon) drain(conns *callerConns) {
-	start := time.Now()
-	limit := d.drainLimit()
-	closed := 0
-	for time.Since(start) < limit {
-		closed += conns.closeIdle()
-		if time.Since(start) >= min(deregistrationTime, limit) && d.lifecycle.activeRequests.Load() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
-	d.logger.WithFields(logrus.Fields{
-		"event": "drained", "active": d.lifecycle.activeRequests.Load(), "idle_closed": closed, "took_ms": time.Since(start).Milliseconds(),
-	}).Info("draining ended")
-}
-
-// shutdown closes the listener of callers and gives the accepted connections lastConnectionTime to send their request and to get
-// its answer. The server and the components of the daemon still run meanwhile.
-func shutdown(listener net.Listener, conns *callerConns) {
-	// The listener is closed whatever the error.
-	_ = listener.Close()
-	for start := time.Now(); conns.busyCount() > 0 && time.Since(start) < lastConnectionTime; time.Sleep(drainPollInterval) {
-		conns.closeIdle()
-	}
-}
-
-// drainLimit returns the longest time for draining after the signal to stop.
-func (d *Daemon) drainLimit() time.Duration {
-	return milliseconds(d.settings.GetBounds().GetGracePeriod()) - exitMargin
-}
-
 // isReady reports whether the load balancer may send callers: the daemon knows the configuration and the replicas and is not
 // stopping.
 func (d *Daemon) isReady() bool {
--- a/internal/mangoentry/ingress.go
+++ b/internal/mangoentry/ingress.go
@@ -55,7 +55,7 @@
 	arrived := time.Now()
 	i.lifecycle.activeRequests.Add(1)
 	defer i.lifecycle.activeRequests.Add(-1)
-	body, ok := i.readBody(w, r)
+	body, ok := i.takeRequest(w, r)
 	if !ok {
 		return
 	}
@@ -65,6 +65,20 @@
 	}
 }
 
+// takeRequest reads the body of a request and marks its connection as one with a request. If the body cannot be read, it answers
+// the request and reports false.
+func (i *ingress) takeRequest(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, ok := i.readBody(w, r) //nolint:contextcheck // The context that ends a body is that of the stop.
+	if !ok {
+		return nil, false
+	}
+	if conn := callerConnOf(r.Context()); conn != nil && !conn.takeRequest() {
+		// The caller has lost its connection, so the request must not run.
+		panic(http.ErrAbortHandler)
+	}
+	return body, true
+}
+
 // readBody reads the body of a request. If that fails it answers 408 or 413 and reports false.
 func (i *ingress) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
@@ -73,11 +87,27 @@
 	limits := i.limits()
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	// At the end of a stop, a request whose body is not whole is answered, too.
+	interrupted := make(chan struct{})
+	stopWaiting := context.AfterFunc(i.lifecycle.AnswerContext(), func() {
+		_ = control.SetReadDeadline(time.Now())
+		close(interrupted)
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
+	if !stopWaiting() {
+		// The deadline must not be set after it is cleared.
+		<-interrupted
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return body, true
 	}
+	i.refuseBody(w, r, err)
+	return nil, false
+}
+
+// refuseBody answers a request whose body could not be read.
+func (i *ingress) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusRequestTimeout
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
@@ -87,7 +117,6 @@
 		Warn("the body of a request could not be read")
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(status)
-	return nil, false
 }
 
 // limits returns the limits of the latest configuration.
--- a/internal/mangoentry/lifecycle_test.go
+++ b/internal/mangoentry/lifecycle_test.go
@@ -7,31 +7,43 @@
 	"github.com/matryer/is"
 )
 
-// Guards against requests that a stopping daemon accepts and cannot finish: a plain request that arrived 50 ms before the
-// end of the shutdown was cut off.
-func TestRefusesNewRequests(t *testing.T) {
+// Guards against a stop whose times do not fit into the grace period, however short it is, and against one that gives up
+// running requests long before its end.
+func TestShutdownPlan(t *testing.T) {
 	tests := []struct {
-		name          string
-		stopping      bool
-		streams, all  time.Duration
-		stream, plain bool
+		name                     string
+		gracePeriod              time.Duration
+		deregistered, answeredBy time.Duration
 	}{
-		{"running", false, 0, 0, false, false},
-		{"just told to stop", true, time.Hour, 2 * time.Hour, false, false},
-		{"after the cutoff of streams", true, -time.Hour, time.Hour, true, false},
-		{"after both cutoffs", true, -2 * time.Hour, -time.Hour, true, true},
-		{"a grace period shorter than a request", true, time.Hour, -time.Hour, true, true},
+		{"usual", 8 * time.Second, deregistrationTime, 6800 * time.Millisecond},
+		{"long", time.Minute, deregistrationTime, 58800 * time.Millisecond},
+		{"short", 3 * time.Second, deregistrationTime, 2500 * time.Millisecond},
+		{"shorter than the checks of the load balancer", 1200 * time.Millisecond, time.Second, time.Second},
+		{"none", 0, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			l := newLifecycle()
-			if tt.stopping {
-				l.beginShutdown(time.Now().Add(tt.streams), time.Now().Add(tt.all))
-			}
-			is.Equal(l.isStopping(), tt.stopping)
-			is.Equal(l.refusesNew(true), tt.stream)
-			is.Equal(l.refusesNew(false), tt.plain)
+			now := time.Now()
+			plan := shutdownPlan(now, tt.gracePeriod)
+			is.Equal(plan.DeregisteredAt.Sub(now), tt.deregistered)
+			is.Equal(plan.AnswerBy.Sub(now), tt.answeredBy)
 		})
 	}
 }
+
+// Guards against a daemon that does not tell its requests of the stop, or of its end.
+func TestLifecycleTellsOfStop(t *testing.T) {
+	is := is.New(t)
+	l := newLifecycle()
+	_, stopping := l.Plan()
+	is.True(!stopping && !l.isStopping())
+	want := shutdownPlan(time.Now(), time.Second)
+	l.beginShutdown(want)
+	plan, stopping := l.Plan()
+	is.True(stopping && l.isStopping())
+	is.Equal(plan, want)
+	is.NoErr(l.AnswerContext().Err())
+	l.endAnswers()
+	is.True(l.AnswerContext().Err() != nil)
+}
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -160,12 +160,13 @@
 func provideRelay(
 	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker,
 	budget *mangobudget.Budget, limiter *mangolimit.Limiter, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
-	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, follower *mangohub.Follower, logger *logrus.Logger,
+	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, follower *mangohub.Follower,
+	logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, health, budget, crashes,
 		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
-		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithCloseConnections(lifecycle.isStopping), mangorelay.WithRejectNew(lifecycle.refusesNew),
+		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithShutdown(lifecycle),
 	)
 }
 
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -128,6 +128,8 @@
 	_ = c.control.SetWriteDeadline(c.deadline.Add(2 * time.Second))
 	deadlineCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(-answerMargin))
 	defer cancel()
+	// At the end of a stop the request is answered as if its deadline had passed.
+	defer context.AfterFunc(c.relay.shutdown.AnswerContext(), cancel)() //nolint:contextcheck // It is the context of the stop.
 	return c.sendUntilDone(ctx, deadlineCtx)
 }
 
@@ -151,8 +153,8 @@
 			return false
 		}
 	}
-	if c.relay.rejectNew(route.Kind == mangoroute.Stream) {
-		c.writeRefusal("Stopping", http.StatusServiceUnavailable, retryAfterStopping)
+	if !c.canFinishBeforeShutdown(time.Now()) {
+		c.writeRefusal(outcomeStopping, http.StatusServiceUnavailable, retryAfterStopping)
 		return false
 	}
 	c.serviceName = route.PickService(c.relay.random())
@@ -184,6 +186,9 @@
 // finishUndelivered gives the final answer to a request that no send has delivered: the last failed answer of an
 // upstream, or a refusal. It returns false if the answer has been started, which is then incomplete.
 func (c *call) finishUndelivered(reason string, retryAfter time.Duration) bool {
+	if c.relay.shutdown.AnswerContext().Err() != nil {
+		reason, retryAfter = outcomeStopping, retryAfterStopping
+	}
 	switch {
 	case c.started:
 		c.outcome = reason
@@ -213,7 +218,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
 	header.Set("Content-Type", "application/json")
-	if c.relay.closeConnections() {
+	if c.relay.isStopping() {
 		header.Set("Connection", "close")
 	}
 	body := []byte(`{"Error":"` + reason + `"}`)
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -89,24 +89,23 @@
 
 // Relay serves requests of callers. Its methods are safe for concurrent use.
 type Relay struct {
-	state            State
-	codec            Codec
-	dialer           Exchanger
-	prober           Prober
-	peers            PeerNotifier
-	slowReplicas     SlowReplicaFinder
-	health           *mangoreplica.HealthTracker
-	budget           *mangobudget.Budget
-	limiter          *mangolimit.Limiter
-	crashes          *mangocrash.CrashTracker
-	observer         Observer
-	logger           logrus.FieldLogger
-	localDataCentre  string
-	random           func() float64
-	closeConnections func() bool
-	rejectNew        func(stream bool) bool
-	handleNotice     NoticeHandler
-	inFlight         *inFlightIndex
+	state           State
+	codec           Codec
+	dialer          Exchanger
+	prober          Prober
+	peers           PeerNotifier
+	slowReplicas    SlowReplicaFinder
+	health          *mangoreplica.HealthTracker
+	budget          *mangobudget.Budget
+	limiter         *mangolimit.Limiter
+	crashes         *mangocrash.CrashTracker
+	observer        Observer
+	logger          logrus.FieldLogger
+	localDataCentre string
+	random          func() float64
+	shutdown        Shutdown
+	handleNotice    NoticeHandler
+	inFlight        *inFlightIndex
 	// These limit the checks of connections, of stalled requests, of whole chains and of health.
 	connectionChecks *checkLimiter
 	stallChecks      *checkLimiter
@@ -141,11 +140,8 @@
 // WithRandom replaces the source of random numbers in [0, 1).
 func WithRandom(f func() float64) Option { return func(r *Relay) { r.random = f } }
 
-// WithCloseConnections sets the function that reports whether callers' connections are to be closed after their answers.
-func WithCloseConnections(f func() bool) Option { return func(r *Relay) { r.closeConnections = f } }
-
-// WithRejectNew sets the function that reports whether new streams, or new requests of other kinds, are rejected.
-func WithRejectNew(f func(stream bool) bool) Option { return func(r *Relay) { r.rejectNew = f } }
+// WithShutdown sets what tells whether the daemon stops. By default it never does.
+func WithShutdown(s Shutdown) Option { return func(r *Relay) { r.shutdown = s } }
 
 // New returns the relay of a daemon that runs in the given data centre.
 func New(
@@ -155,7 +151,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		closeConnections: func() bool { return false }, rejectNew: func(bool) bool { return false }, inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
+		shutdown: noShutdown{}, inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
 		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
 		pendingChecks: make(chan func(ctx context.Context), maxPendingChecks),
 	}
--- a/internal/mangorelay/retry.go
+++ b/internal/mangorelay/retry.go
@@ -40,6 +40,8 @@
 	outcomeRateLimited = "RateLimited"
 	// outcomeCrashesUpstreams is the outcome of requests that crash upstreams or were in flight on several crashed ones.
 	outcomeCrashesUpstreams = "CrashesUpstreams"
+	// outcomeStopping is the outcome of requests that the daemon could not answer before the end of its stop.
+	outcomeStopping = "Stopping"
 	// outcomeBudgetSpent is the outcome of requests for which no retry budget was left.
 	outcomeBudgetSpent = "BudgetSpent"
 )
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -142,7 +142,7 @@
 		// A nil value keeps the server from guessing a type.
 		header["Content-Type"] = nil
 	}
-	if c.relay.closeConnections() {
+	if c.relay.isStopping() {
 		header.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(a.Status)
