Begin only requests that can end before a stopping daemon

Cause: a plain request began up to 1.2 s before the end of the drain, however long it may take. Change: a stopping daemon begins a request if its own deadline is earlier than the end, or if twice the duration of the slowest recent requests of its route (package mangoduration), or of its target, is left; else it refuses at once with 503 and Retry-After. Why it works: what begins has its deadline, or twice its usual time, before the end, and what still runs then gets a complete answer. Failed before: TestLateRequestsInStop. TestRefusesNewRequests is the table of the decision, TestLateRequestProperties its properties.

--- a/internal/mangorelay/log.go
+++ b/internal/mangorelay/log.go
@@ -44,6 +44,9 @@
 		version = c.view.Table.Version()
 	}
 	c.relay.observer.Request(route, kind, c.outcome, c.status, took)
+	if c.outcome == resultDelivered.String() || c.outcome == resultExpired.String() {
+		c.relay.durations.Record(route, took)
+	}
 	entry := c.relay.logger.WithFields(logrus.Fields{
 		"event": "request_done", "request": c.request.ID, "route": route, "kind": kind, "version": version,
 		"customer": c.customer.Name, "service": c.serviceName, "status": c.status, "outcome": c.outcome, "whole": whole,
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -13,6 +13,7 @@
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
+	"mangopath.org/mangopath/internal/mangoduration"
 	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -104,6 +105,7 @@
 	localDataCentre string
 	random          func() float64
 	shutdown        Shutdown
+	durations       *mangoduration.Tracker
 	handleNotice    NoticeHandler
 	inFlight        *inFlightIndex
 	// These limit the checks of connections, of stalled requests, of whole chains and of health.
@@ -151,7 +153,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		shutdown: noShutdown{}, inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
+		shutdown: noShutdown{}, durations: mangoduration.New(), inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
 		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
 		pendingChecks: make(chan func(ctx context.Context), maxPendingChecks),
 	}
--- a/internal/mangorelay/shutdown.go
+++ b/internal/mangorelay/shutdown.go
@@ -30,21 +30,55 @@
 
 func (noShutdown) AnswerContext() context.Context { return context.Background() }
 
-// minTimeLeft is the least time before the end of a stop for a request to begin.
-const minTimeLeft = 1200 * time.Millisecond
+const (
+	// minTimeLeft is the least time before the end of a stop for a request to begin whose own deadline is later.
+	minTimeLeft = 1200 * time.Millisecond
+	// durationMargin is how many times the expected duration has to be left for a request to begin whose own deadline is later:
+	// the expected duration is that of the slowest recent requests.
+	durationMargin = 2
+)
+
+// lateRequest is a request that arrives while the daemon stops.
+type lateRequest struct {
+	kind mangoroute.Kind
+	// repeatable says that the request may run more than once.
+	repeatable bool
+	// deregistered says that the load balancer had the time to notice the stop.
+	deregistered bool
+	// timeLeft is the time in which the daemon still answers, and timeout the time until the request's own deadline.
+	timeLeft, timeout time.Duration
+	// expected is how long such requests take, 0 if that is not known, and target is how long they should take at most.
+	expected, target time.Duration
+}
+
+// canFinish reports whether the request can begin: it surely ends before the daemon does, or, by what is known of such requests,
+// most probably. A request that may not be repeated must not begin and then be cut off. The target of a stream bounds only its
+// first event, so a stream of which nothing is known begins only while the load balancer cannot know better.
+func (r lateRequest) canFinish() bool {
+	switch {
+	case r.timeout <= r.timeLeft:
+		return true
+	case r.kind == mangoroute.Stream && !r.deregistered:
+		return r.repeatable || r.expected <= r.timeLeft
+	case r.kind == mangoroute.Stream:
+		return r.expected > 0 && durationMargin*r.expected <= r.timeLeft
+	default:
+		return r.timeLeft >= max(minTimeLeft, durationMargin*max(r.expected, r.target))
+	}
+}
 
 // canFinishBeforeShutdown reports whether a request of the call's route can begin now. It is always true while the daemon does
-// not stop. A stream begins only while the load balancer may not have noticed the stop.
+// not stop.
 func (c *call) canFinishBeforeShutdown(now time.Time) bool {
 	plan, stopping := c.relay.shutdown.Plan()
-	switch {
-	case !stopping:
+	if !stopping {
 		return true
-	case c.route.Kind == mangoroute.Stream && now.After(plan.DeregisteredAt):
-		return false
-	default:
-		return plan.AnswerBy.Sub(now) >= minTimeLeft
 	}
+	return lateRequest{
+		kind: c.route.Kind, repeatable: c.route.Repeatable(), deregistered: now.After(plan.DeregisteredAt),
+		timeLeft: plan.AnswerBy.Sub(now), timeout: c.computeDeadline().Sub(now),
+		expected: c.relay.durations.Expected(c.route.Name), target: c.route.LatencyTarget,
+	}.canFinish()
 }
 
 // isStopping reports whether the daemon stops.
