Let no outage of the store outlive itself in what daemons believe

Cause: a daemon without a seat that had tried the store in an outage kept that failure for good, since it never calls again. Each change of hubs then looked like a loss of the store, and the next hub like its return, after which missing entries are kept for 2.2 s, anew each time. Change: the result of an own call counts while the daemon reads the store and 2 s longer, and a change of hubs proves nothing. The 2.2 s count from the return of the store itself, as a hub that was without it or an own failed call shows; a loss that only another hub told of is none. Pauses after failed calls end when a seat is taken, a hub is found or another daemon shows changes. Why it works: what ends a belief no longer depends on a later call, and the grace has one beginning for each outage.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -62,7 +62,11 @@
 }
 
 func provideController(mirror *mangohub.Mirror, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
-	return mangostate.New(platform.NewFeed(mirror), health, mangostate.WithLogger(logger))
+	returnTime := func() time.Time {
+		_, backAt := mirror.Contact()
+		return backAt
+	}
+	return mangostate.New(platform.NewFeed(mirror), health, mangostate.WithLogger(logger), mangostate.WithReturnTime(returnTime))
 }
 
 func provideBudget(s *mangomessage.RelaySettings) *mangobudget.Budget {
--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// sameReturn is the difference up to which two times at which the store was back are taken for the same.
-const sameReturn = 500 * time.Millisecond
+const (
+	// sameReturn is the difference up to which two times at which the store was back are taken for the same.
+	sameReturn = 500 * time.Millisecond
+	// ownContactLifetime is the time for which the result of an own call tells of the store while this daemon does not read it. It
+	// covers the time between two polls of a hub.
+	ownContactLifetime = 2 * time.Second
+)
 
 // contact is what is known of the contact to the store on one way.
 type contact int
@@ -25,28 +30,59 @@
 func (m *Mirror) Path() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.own == contactMade {
+	if m.ownContact() == contactMade {
 		return nil
 	}
 	return m.hubPath
 }
 
-// SetOwnContact records whether the last call of this daemon reached the store.
+// SetReading records whether this daemon reads the store itself. While it does, the result of its last call stands until the
+// next one; otherwise it is soon out of date.
+func (m *Mirror) SetReading(reading bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A result that is out of date does not count again because the daemon begins to read.
+	m.own = m.ownContact()
+	m.reading = reading
+}
+
+// SetOwnContact records whether a call of this daemon reached the store.
 func (m *Mirror) SetOwnContact(reached bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.own = contactOf(reached)
+	m.own, m.ownAt = contactOf(reached), m.now()
 	m.updateContact(time.Time{})
+	if !reached && m.lost {
+		m.lossConfirmed = true
+	}
+}
+
+// ownContact returns what the last own call says of the store, or contactUnknown if it is out of date. The caller holds m.mu.
+func (m *Mirror) ownContact() contact {
+	if !m.reading && m.now().Sub(m.ownAt) > ownContactLifetime {
+		return contactUnknown
+	}
+	return m.own
+}
+
+// HubContact is what a hub says of its contact to the store.
+type HubContact struct {
+	// Reached says that the hub reaches the store without this daemon, through the daemons of Path.
+	Reached bool
+	Path    []string
+	// BackAt is when the store was back, if the hub was without it lately; zero otherwise.
+	BackAt time.Time
+	// Local says that the hub is in the data centre of this daemon.
+	Local bool
 }
 
-// SetHubContact records whether the hub that this daemon follows reaches the store, and through which daemons. A hub that was
-// without the store until a time passes that time on as backAt, so that entries that lapsed meanwhile are kept here, too; it is
-// zero otherwise.
-func (m *Mirror) SetHubContact(reached bool, backAt time.Time, path []string) {
+// SetHubContact records what the hub that this daemon follows says. If the hub was without the store, entries that lapsed
+// meanwhile are kept here, too.
+func (m *Mirror) SetHubContact(h HubContact) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.hub, m.hubPath = contactOf(reached), path
-	m.updateContact(backAt)
+	m.hub, m.hubPath, m.localHub = contactOf(h.Reached), h.Path, h.Local
+	m.updateContact(h.BackAt)
 }
 
 // EndHubContact records that this daemon follows no hub.
@@ -58,24 +94,22 @@
 }
 
 // updateContact derives whether the store is reached from what is known of the own calls and of the hub. A success of either
-// counts; while neither has succeeded or failed, the contact stays as it was. The caller holds m.mu.
+// counts; while neither has succeeded or failed, as after a change of hubs, the contact stays as it was. The caller holds m.mu.
 func (m *Mirror) updateContact(backAt time.Time) {
-	reached := m.own == contactMade || m.hub == contactMade
+	own := m.ownContact()
+	reached := own == contactMade || m.hub == contactMade
 	switch {
-	case m.own == contactMade:
+	case own == contactMade:
 		backAt = time.Time{}
-	case !reached && m.own == contactUnknown && m.hub == contactUnknown:
+	case !reached && own == contactUnknown && m.hub == contactUnknown:
 		return
 	}
 	switch {
 	case !reached && !m.lost:
-		m.lost, m.lossDue = true, true
+		m.lost, m.lossDue, m.lossConfirmed = true, true, own == contactFailed
 		m.signal()
 	case reached && m.lost:
-		m.lost, m.backAt = false, backAt
-		if backAt.IsZero() {
-			m.backAt = time.Now()
-		}
+		m.lost, m.backAt = false, m.returnTime(backAt)
 		m.signal()
 	case reached && backAt.Sub(m.backAt) > sameReturn:
 		m.backAt, m.lossDue = backAt, true
@@ -83,7 +117,23 @@
 	}
 }
 
-// Contact reports whether the store is reached, and when it was reached again after it was lost; zero if it never was.
+// returnTime returns the time at which the store was back, at the end of a loss. hubBackAt is that of the hub by which it is
+// reached, if the hub was without the store as well. The time stays that of the last return if the store was not away: only
+// another hub told of the loss, or a hub of this data centre, which its replicas reach as it does, had the store all the while. The
+// caller holds m.mu.
+func (m *Mirror) returnTime(hubBackAt time.Time) time.Time {
+	byHub := m.ownContact() != contactMade
+	switch {
+	case !hubBackAt.IsZero():
+		return hubBackAt
+	case !m.lossConfirmed, byHub && m.localHub:
+		return m.backAt
+	default:
+		return m.now()
+	}
+}
+
+// Contact reports whether the store is reached, and when it was back after it was last away; zero if it never was.
 func (m *Mirror) Contact() (reached bool, backAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -228,10 +228,10 @@
 		updates++
 		f.recordUpdate(hub, u)
 		if updates == 1 {
-			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision()}).
+			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision(), "store_lost": u.GetStoreLost(), "store_back_ms": u.GetStoreBackMs()}).
 				Info("this daemon follows a hub")
 		}
-		if begun = f.apply(begun, u); len(begun) > maxSnapshotItems {
+		if begun = f.apply(hub, begun, u); len(begun) > maxSnapshotItems {
 			f.endLink(hub, updates, &Error{Op: "Follow", Kind: KindStream, Err: errors.Errorf("an update of more than %d items", maxSnapshotItems)})
 			return false
 		}
@@ -249,8 +249,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.link.Hub != hub.Name {
-		// Another hub without contact to the store ends no wait for that contact.
-		f.link = Link{Hub: hub.Name, Since: now, StoreOnly: hub.storeOnly, UnconfirmedAt: f.link.UnconfirmedAt}
+		link := Link{Hub: hub.Name, Since: now, StoreOnly: hub.storeOnly}
+		if now.Sub(f.link.Since) < unconfirmedMemory {
+			// Another hub without contact to the store ends no wait for that contact.
+			link.UnconfirmedAt = f.link.UnconfirmedAt
+		}
+		f.link = link
 	}
 	f.link.UpdatedAt = now
 	f.link.ConfirmedAt = time.Time{}
@@ -268,7 +272,7 @@
 
 // apply writes the changes of an update to the mirror. begun has the items of earlier parts of the same update; apply returns
 // them with those of this part, or none after the last part.
-func (f *Follower) apply(begun []Item, u *mangomessage.FollowUpdate) []Item {
+func (f *Follower) apply(hub candidate, begun []Item, u *mangomessage.FollowUpdate) []Item {
 	begun = append(begun, decodeItems(u.GetItems())...)
 	if u.GetMore() {
 		return begun
@@ -277,7 +281,9 @@
 	if u.GetStoreBackMs() > 0 {
 		backAt = time.Now().Add(-time.Duration(u.GetStoreBackMs()) * time.Millisecond)
 	}
-	f.mirror.SetHubContact(f.bringsContact(u), backAt, u.GetPath())
+	f.mirror.SetHubContact(HubContact{
+		Reached: f.bringsContact(u), Path: u.GetPath(), BackAt: backAt, Local: hub.DataCentre == f.self.DataCentre,
+	})
 	if u.GetSnapshot() {
 		f.mirror.Load(begun, u.GetRevision())
 	} else {
--- /dev/null
+++ b/internal/mangohub/hub_change_test.go
@@ -0,0 +1,71 @@
+package mangohub
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// setUncut ends the cut between daemons and the store.
+func (s *testStore) setUncut(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		delete(s.cut, name)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lastOwnCallFailed reports whether the last own call of a daemon did not reach the store.
+func (m *Mirror) lastOwnCallFailed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own == contactFailed
+}
+
+// Guards against a daemon that takes each change of hubs for a loss of the store and for its return, since its own call had
+// failed in an outage that is long over. It would keep entries that are removed after that.
+func TestHubChangesAfterOutage(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t, 1, 3)
+	hubs, follower := []string{daemonName(0, 0), daemonName(0, 1)}, c.daemons[daemonName(0, 2)]
+	for _, name := range append(hubs, follower.member.Name) {
+		c.store.setCut(name)
+	}
+	c.eventually(t, "all daemons have tried the store themselves", 10*time.Second, func() bool {
+		for _, d := range c.daemons {
+			if reached, _ := d.mirror.Contact(); reached || !d.mirror.lastOwnCallFailed() {
+				return false
+			}
+		}
+		return true
+	})
+	c.store.setUncut(hubs...)
+	c.eventually(t, "the follower hears from a hub that reaches the store", 10*time.Second, func() bool {
+		// A change ends the watches that began while nothing changed.
+		c.store.change("key")
+		return follower.follower.Link().Confirmed(time.Now())
+	})
+	time.Sleep(2*roleCheckInterval + ownContactLifetime)
+	c.store.setUncut(follower.member.Name)
+	_, backAt := follower.mirror.Contact()
+	is.True(!backAt.IsZero())
+	for range 3 {
+		followed := c.daemons[follower.follower.Link().Hub]
+		followed.down.Store(true)
+		// A change makes the hub notice that its stream has ended.
+		revision := c.store.change("key")
+		c.eventually(t, "the follower has the change by another hub", 5*time.Second, func() bool {
+			if reached, _ := follower.mirror.Contact(); !reached {
+				t.Fatal("a change of hubs was taken for a loss of the store")
+			}
+			link := follower.follower.Link()
+			return link.Hub != "" && link.Hub != followed.member.Name && link.Confirmed(time.Now()) && follower.mirror.Revision() >= revision
+		})
+		followed.down.Store(false)
+		_, now := follower.mirror.Contact()
+		is.Equal(now, backAt)
+	}
+}
--- a/internal/mangohub/hub_test.go
+++ b/internal/mangohub/hub_test.go
@@ -295,23 +295,23 @@
 			m.SetOwnContact(false)
 			m.SetOwnContact(true)
 		}, []string{"loss", "answer", "nothing"}},
-		{"the hub was without the store", func(m *Mirror) { m.SetHubContact(true, back, nil) }, []string{"loss", "answer", "nothing"}},
+		{"the hub was without the store", func(m *Mirror) { m.SetHubContact(HubContact{Reached: true, BackAt: back}) }, []string{"loss", "answer", "nothing"}},
 		{"the hub has lost it, this daemon has not", func(m *Mirror) {
 			m.SetOwnContact(true)
-			m.SetHubContact(false, time.Time{}, nil)
+			m.SetHubContact(HubContact{})
 		}, []string{"nothing"}},
 		{"this daemon has lost it, the hub has not", func(m *Mirror) {
-			m.SetHubContact(true, time.Time{}, nil)
+			m.SetHubContact(HubContact{Reached: true})
 			m.SetOwnContact(false)
 		}, []string{"nothing"}},
 		{"this daemon has lost it, and the hub", func(m *Mirror) {
-			m.SetHubContact(true, time.Time{}, nil)
+			m.SetHubContact(HubContact{Reached: true})
 			m.SetOwnContact(false)
 			m.EndHubContact()
 		}, []string{"loss", "loss"}},
 		{"the hub says so again", func(m *Mirror) {
-			m.SetHubContact(true, back, nil)
-			m.SetHubContact(true, back.Add(20*time.Millisecond), nil)
+			m.SetHubContact(HubContact{Reached: true, BackAt: back})
+			m.SetHubContact(HubContact{Reached: true, BackAt: back.Add(20 * time.Millisecond)})
 		}, []string{"loss", "answer", "nothing"}},
 	}
 	for _, tt := range tests {
--- a/internal/mangohub/mirror.go
+++ b/internal/mangohub/mirror.go
@@ -27,13 +27,19 @@
 	historyBytes int
 	revision     uint64
 	loaded       bool
-	// lost says that neither this daemon nor its hub reaches the store, and backAt when that last ended.
-	lost   bool
-	backAt time.Time
-	// own is whether the last call of this daemon reached the store, and hub whether its hub does, through the daemons of
-	// hubPath.
+	// lost says that neither this daemon nor its hub reaches the store. lossConfirmed says that a call of this daemon failed
+	// since, and backAt is when the store was back after it was last away.
+	lost, lossConfirmed bool
+	backAt              time.Time
+	// own is whether the last call of this daemon reached the store, at ownAt, and hub whether its hub does, through the daemons
+	// of hubPath. reading says that this daemon reads the store itself.
 	own, hub contact
+	ownAt    time.Time
+	reading  bool
 	hubPath  []string
+	localHub bool
+	// now is the clock.
+	now func() time.Time
 	// confirmedAt is the latest time at which the mirror is known to have had all changes of the store.
 	confirmedAt time.Time
 	// lossDue says that the user of the mirror has to be told of a loss of the store, also if it is over, and returnDue that
@@ -49,7 +55,7 @@
 
 // NewMirror returns a mirror that has not been loaded.
 func NewMirror() *Mirror {
-	return &Mirror{items: map[string]Item{}, changed: make(chan struct{}), restart: make(chan struct{}, 1)}
+	return &Mirror{items: map[string]Item{}, changed: make(chan struct{}), restart: make(chan struct{}, 1), now: time.Now}
 }
 
 // Load replaces everything by a snapshot of the store, unless the mirror is further.
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -64,8 +64,11 @@
 	logger   logrus.FieldLogger
 	// onContact is called when a call has reached the store.
 	onContact func()
-	// reading says that the last decision was to read, for the log.
+	// reading says that the last decision was to read.
 	reading bool
+	// retryPause is the pause after the next failed call, and failedAt the time of the last one.
+	retryPause time.Duration
+	failedAt   time.Time
 	// grace and unconfirmed are the times to wait, drawn anew whenever the link changes.
 	grace, unconfirmed time.Duration
 	drawnFor           Link
@@ -84,7 +87,7 @@
 
 // NewReader returns a reader of a store.
 func NewReader(store Source, mirror *Mirror, seats Holder, upstream Upstream, opts ...ReaderOption) *Reader {
-	r := &Reader{store: store, mirror: mirror, seats: seats, upstream: upstream, logger: logrus.StandardLogger(), onContact: func() {}}
+	r := &Reader{store: store, mirror: mirror, seats: seats, upstream: upstream, logger: logrus.StandardLogger(), onContact: func() {}, retryPause: minRetryPause}
 	for _, o := range opts {
 		o(r)
 	}
@@ -93,7 +96,7 @@
 
 // Run reads the store while needed, until the context ends.
 func (r *Reader) Run(ctx context.Context) error {
-	compacted, retryPause := false, minRetryPause
+	compacted := false
 	var lastChange time.Time
 	for ctx.Err() == nil {
 		if !r.awaitDuty(ctx) {
@@ -106,13 +109,12 @@
 		}
 		now := time.Now()
 		var pause time.Duration
+		failed := false
 		switch {
 		case err == nil && snapshot:
 			r.mirror.Load(items, revision)
-			retryPause = minRetryPause
 		case err == nil:
 			r.mirror.Append(items, revision)
-			retryPause = minRetryPause
 			if len(items) > 0 {
 				pause = r.batchPause(now.Sub(lastChange))
 				lastChange = now
@@ -120,20 +122,52 @@
 		case isCompacted(err):
 			// The next snapshot is a fresh one: an old one could end before the history that the store still has.
 		default:
-			pause, retryPause = retryPause/2+rand.N(retryPause), min(2*retryPause, r.maxRetryPause())
+			failed = true
 		}
 		if err == nil && (!snapshot || compacted) {
 			r.mirror.Confirm(revision, 0)
 		}
 		compacted = isCompacted(err)
 		r.recordResult(err)
-		if pause > 0 && !sleep(ctx, pause) {
-			return ctx.Err()
+		if failed {
+			r.pauseAfterFailure(ctx, now)
+		} else if pause > 0 {
+			_ = sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
 }
 
+// pauseAfterFailure waits after a failed call, longer after each of a series. The wait ends early when this daemon no longer has to
+// read the store, when it takes or loses a seat, and when another daemon has shown that the store has changes.
+func (r *Reader) pauseAfterFailure(ctx context.Context, now time.Time) {
+	if now.Sub(r.failedAt) > maxUnseatedRetryPause {
+		// The last failure belongs to an earlier outage.
+		r.retryPause = minRetryPause
+	}
+	r.failedAt = now
+	_, seated := r.seats.Held()
+	timer := time.NewTimer(r.retryPause/2 + rand.N(r.retryPause))
+	defer timer.Stop()
+	r.retryPause = min(2*r.retryPause, r.maxRetryPause())
+	tick := time.NewTicker(roleCheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-r.mirror.restart:
+			return
+		case <-tick.C:
+			if _, held := r.seats.Held(); held != seated || !r.hasDuty(time.Now()) {
+				return
+			}
+		}
+	}
+}
+
 // RecordCall records whether a call that another component of this daemon made reached the store.
 func (r *Reader) RecordCall(err error) { r.mirror.SetOwnContact(err == nil) }
 
@@ -144,6 +178,7 @@
 	}
 	r.RecordCall(err)
 	if err == nil {
+		r.retryPause = minRetryPause
 		r.onContact()
 		return
 	}
@@ -201,6 +236,7 @@
 		duty := r.hasDuty(time.Now())
 		if duty != r.reading {
 			r.reading = duty
+			r.mirror.SetReading(duty)
 			seat, seated := r.seats.Held()
 			link := r.upstream.Link()
 			r.logger.WithFields(logrus.Fields{
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -41,6 +41,8 @@
 	layerReports chan mangoreplica.LayerReport
 	orders       chan mangoreplica.LayerReport
 	restartWatch chan struct{}
+	// returnTime returns when the store was back after it was last away.
+	returnTime func() time.Time
 
 	state state
 }
@@ -51,13 +53,17 @@
 // WithLogger sets the logger of changes of the state.
 func WithLogger(l logrus.FieldLogger) Option { return func(c *Controller) { c.logger = l } }
 
+// WithReturnTime sets the function that returns when the store was back after it was last away, zero if it never was. The default
+// is the time of the first answer after a failure, which may be much later.
+func WithReturnTime(f func() time.Time) Option { return func(c *Controller) { c.returnTime = f } }
+
 // New returns a controller with an empty view. The controller drops what the health tracker holds about replicas that are
 // gone.
 func New(feed Feed, health *mangoreplica.HealthTracker, opts ...Option) *Controller {
 	c := &Controller{
 		feed: feed, health: health, logger: logrus.StandardLogger(), reachability: make(chan bool, 1),
 		revisions: make(chan uint64, 1), layerReports: make(chan mangoreplica.LayerReport, reportQueueSize),
-		orders: make(chan mangoreplica.LayerReport, reportQueueSize), restartWatch: make(chan struct{}, 1),
+		orders: make(chan mangoreplica.LayerReport, reportQueueSize), restartWatch: make(chan struct{}, 1), returnTime: time.Now,
 	}
 	for _, o := range opts {
 		o(c)
@@ -147,7 +153,7 @@
 		case a := <-answers:
 			c.applyAnswer(a)
 		case ok := <-c.reachability:
-			if c.state.setReachable(ok, time.Now()) {
+			if c.state.setReachable(ok, c.returnTime(), time.Now()) {
 				c.publish()
 			}
 		case <-tick.C:
@@ -195,7 +201,7 @@
 	if a.err != nil {
 		changed := false
 		if !isCompacted(a.err) {
-			changed = c.state.setReachable(false, now)
+			changed = c.state.setReachable(false, time.Time{}, now)
 		}
 		c.logger.WithFields(logrus.Fields{
 			"event": "store_read_failed", "revision": c.state.revision, "age_ms": now.Sub(c.state.lastAnswer).Milliseconds(),
@@ -205,7 +211,7 @@
 		}
 		return
 	}
-	changed := c.state.setReachable(true, now)
+	changed := c.state.setReachable(true, c.returnTime(), now)
 	changed = c.state.applyAnswer(a, now) || changed
 	c.state.revision, c.state.lastAnswer = a.revision, now
 	if changed || !c.state.synced {
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -29,12 +29,13 @@
 	// fence is the highest revision seen of PlacementKey, whose holder may be gone.
 	fence  uint64
 	synced bool
-	// reachable is false from a failed call to the next answer; reachableSince is the time of that answer.
-	reachable      bool
-	reachableSince time.Time
-	lastAnswer     time.Time
-	revision       uint64
-	fleet          *mangoreplica.Fleet
+	// reachable is false from a failed call to the next answer; returnedAt is when the store was back after it was last away,
+	// which may be before that answer, and zero if it never was.
+	reachable  bool
+	returnedAt time.Time
+	lastAnswer time.Time
+	revision   uint64
+	fleet      *mangoreplica.Fleet
 }
 
 // layerOverride has the layers that a replica reported, or that it keeps by an order, and when that became known.
@@ -59,15 +60,22 @@
 	}
 }
 
-// setReachable records whether a call reached the store; it reports whether that changed.
-func (s *state) setReachable(ok bool, now time.Time) bool {
+// setReachable records whether a call reached the store, and if so, when the store was back after it was last away. It reports
+// whether the store's being reachable changed.
+func (s *state) setReachable(ok bool, returnedAt, now time.Time) bool {
 	if ok == s.reachable {
 		return false
 	}
 	s.reachable = ok
 	if ok {
-		s.reachableSince = now
-		s.logger.WithFields(logrus.Fields{"event": "store_back", "revision": s.revision, "age_ms": now.Sub(s.lastAnswer).Milliseconds()}).
+		s.returnedAt = returnedAt
+		entry := s.logger.WithFields(logrus.Fields{
+			"event": "store_back", "revision": s.revision, "age_ms": now.Sub(s.lastAnswer).Milliseconds(), "was_away": !returnedAt.IsZero(),
+		})
+		if !returnedAt.IsZero() {
+			entry = entry.WithField("returned_ms", now.Sub(returnedAt).Milliseconds())
+		}
+		entry.
 			Info("the store is reachable again")
 		return true
 	}
@@ -77,9 +85,10 @@
 }
 
 // absenceInconclusive reports whether the absence of an entry does not show that its replica is gone: the store is
-// unreachable, or has been reachable again for less than recoveryGrace.
+// unreachable, or was back less than recoveryGrace ago. The time counts from the return of the store and not from that of the contact,
+// which also ends and begins with a change of hubs.
 func (s *state) absenceInconclusive(now time.Time) bool {
-	return !s.reachable || (!s.reachableSince.IsZero() && now.Sub(s.reachableSince) < s.recoveryGrace)
+	return !s.reachable || (!s.returnedAt.IsZero() && now.Sub(s.returnedAt) < s.recoveryGrace)
 }
 
 // applyAnswer applies an answer of the feed; it reports whether anything changed.
