Bound the heads and reports that the clients of engines and services read

Cause: mangoupstream read the head of a stream's answer without a bound, those of other answers up to 10 MiB, and reports and orders up to 64 MiB. Evidence: TestBytesWithoutEnd of mangoupstream on: the client took up to 1 GiB of a head in four of eight cases of a stream, and over 32 MiB of the bodies of a state and of the reply to an order. Change: ReadResponse of mangoconn bounds a head with its informational answers to 64 KiB for both clients, transports have the same bound, and reports and replies other than exported KV caches have 4 MiB. Why it works: no read of a head or report goes on beyond a bound. Failed before: six of 32 cases of TestBytesWithoutEnd; all pass after it, in 1.7 s instead of 49 s.

--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -1,7 +1,6 @@
 package mangoconn
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -16,19 +15,12 @@
 )
 
 const (
-	// readBufferSize is enough for several events of a stream.
-	readBufferSize = 4 << 10
 	// tcpUserTimeout is the time after which the kernel closes a connection on which sent bytes are not acknowledged.
 	tcpUserTimeout = 2 * time.Second
 	// writeTimeout bounds the time for writing a request.
 	writeTimeout = 2 * time.Second
-	// maxHeadBytes bounds the head of an answer together with the informational answers before it.
-	maxHeadBytes = 64 << 10
 )
 
-// errHeadTooLarge means that an upstream sent maxHeadBytes without completing the head of its answer.
-var errHeadTooLarge = errors.New("the head of the answer is too large")
-
 // Dialer opens a connection to an upstream for each request. It is safe for concurrent use.
 type Dialer struct {
 	dialer net.Dialer
@@ -68,7 +60,7 @@
 	_ = r.conn.Close()
 }
 
-// Exchange sends a request and reads the head of the answer, of which it takes at most maxHeadBytes. All errors are of type
+// Exchange sends a request and reads the head of the answer, of which it takes at most MaxHeadBytes. All errors are of type
 // *Error. The end of the context closes the connection, also while the body is read. The time without progress, also while
 // the body is read, is bounded by waiter; the whole head counts as progress, a part of it does not.
 func (d *Dialer) Exchange(
@@ -108,42 +100,13 @@
 	return response, err
 }
 
-// readHead reads the head of the final answer.
+// readHead reads the head of the final answer and records it as progress.
 func readHead(conn *waitingConn, request *http.Request) (*http.Response, error) {
-	head := &headReader{conn: conn, left: maxHeadBytes}
-	reader := bufio.NewReaderSize(head, readBufferSize)
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return nil, err
-		}
-		// Informational answers (1xx) precede the final one.
-		if response.StatusCode >= http.StatusOK {
-			head.complete = true
-			conn.waiter.Progress()
-			return response, nil
-		}
+	response, err := ReadResponse(conn, request)
+	if err == nil {
+		conn.waiter.Progress()
 	}
-}
-
-// headReader bounds the bytes that are read from a connection until the head of an answer is complete.
-type headReader struct {
-	conn     io.Reader
-	left     int
-	complete bool
-}
-
-// Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
-	if r.complete {
-		return r.conn.Read(p)
-	}
-	if r.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := r.conn.Read(p[:min(len(p), r.left)])
-	r.left -= n
-	return n, err
+	return response, err
 }
 
 // classifyError returns an *Error for a request that may have been sent, with the kind of failure that err shows.
--- a/internal/mangoupstream/client.go
+++ b/internal/mangoupstream/client.go
@@ -1,7 +1,6 @@
 package mangoupstream
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +10,7 @@
 	"net/http/httputil"
 	"time"
 
+	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -51,6 +51,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
+		// The default is 10 MiB for each connection.
+		MaxResponseHeaderBytes: mangoconn.MaxHeadBytes,
 	}
 }
 
@@ -91,7 +93,7 @@
 	if err := s.send(open); err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(s.conn), request)
+	response, err := mangoconn.ReadResponse(s.conn, request)
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +145,9 @@
 	if errors.As(err, &known) {
 		return &Error{Op: op, Kind: known.Kind, Err: known.Err}
 	}
+	if errors.Is(err, mangoconn.ErrHeadTooLarge) {
+		return &Error{Op: op, Kind: KindProtocol, Err: err}
+	}
 	if ctx.Err() != nil {
 		return &Error{Op: op, Kind: KindTimeout, Err: context.Cause(ctx)}
 	}
--- a/internal/mangoupstream/option.go
+++ b/internal/mangoupstream/option.go
@@ -9,6 +9,8 @@
 	defaultMaxLine = 8 << 20
 	// defaultMaxBody bounds the answers of plain services and exported KV caches.
 	defaultMaxBody = 64 << 20
+	// maxReport bounds the replies of engines other than exported KV caches. A page of events is the largest of them.
+	maxReport = 4 << 20
 	// maxIdleConnsPerHost is the number of idle connections kept for reading states and events and for idempotent requests.
 	maxIdleConnsPerHost = 4
 	// idleTimeout is shorter than the usual idle timeout of servers, so that few requests get a connection that is closed.
--- a/internal/mangoupstream/report.go
+++ b/internal/mangoupstream/report.go
@@ -33,7 +33,7 @@
 // Export implements Engine.
 func (c *Client) Export(ctx context.Context, address string, transfer *mangomessage.Transfer) (*mangomessage.Transfer, error) {
 	full := new(mangomessage.Transfer)
-	return full, c.exchangeJSON(ctx, c.singleUse, "Export", address, "/v1/export", transfer, full)
+	return full, c.exchangeBounded(ctx, c.singleUse, "Export", address, "/v1/export", transfer, full, c.options.maxBody)
 }
 
 // Import implements Engine.
@@ -47,14 +47,21 @@
 	return reply, c.exchangeJSON(ctx, c.singleUse, "Order", address, "/v1/orders", order, reply)
 }
 
-// exchangeJSON sends in as JSON with POST, or a GET request if in is nil, and decodes the JSON reply into out unless it is
-// nil.
+// exchangeJSON is exchangeBounded for a reply of at most maxReport bytes.
 func (c *Client) exchangeJSON(ctx context.Context, transport *http.Transport, op, address, path string, in, out any) error {
+	return c.exchangeBounded(ctx, transport, op, address, path, in, out, min(maxReport, c.options.maxBody))
+}
+
+// exchangeBounded sends in as JSON with POST, or a GET request if in is nil, and decodes the JSON reply, of at most maxBody bytes,
+// into out unless it is nil.
+func (c *Client) exchangeBounded(
+	ctx context.Context, transport *http.Transport, op, address, path string, in, out any, maxBody int64,
+) error {
 	request, err := jsonRequest(ctx, address, path, in)
 	if err != nil {
 		return c.options.hooks.failed(address, &Error{Op: op, Kind: KindNotSent, Err: err})
 	}
-	answer, failed := roundTrip(transport, request, op, c.options.maxBody)
+	answer, failed := roundTrip(transport, request, op, maxBody)
 	if failed == nil {
 		failed = decodeReply(answer, op, out)
 	}
