Bound the memory that requests and answers take together on a relay

Cause: each answer, event and body had a bound and their sum had none: up to 256 KiB of an answer, as much again while it was passed on, and whole bodies of requests. Change: package mangomemory bounds what all requests keep to a sixth of the host's memory. Answers beyond it are passed on unkept, 16 KiB at a time; a body beyond it is refused with 503 before its request runs; a stream with a long unfinished event goes on elsewhere. The gauge mangopath_kept_bytes shows the sum. Why it works: what requests keep no longer grows with their number.

--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -19,6 +19,7 @@
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangolog"
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangopipeline"
@@ -58,18 +59,19 @@
 	metrics      *mangometric.RelayMetrics
 	registry     *prometheus.Registry
 	lifecycle    *lifecycle
+	memory       *mangomemory.Pool
 }
 
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, logWriter *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, health *mangoreplica.HealthTracker, budget *mangobudget.Budget, crashes *mangocrash.CrashTracker,
 	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, seats *mangohub.Seats, hub *hubComponents,
-	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.RelayMetrics, registry *prometheus.Registry, lifecycle *lifecycle,
+	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.RelayMetrics, registry *prometheus.Registry, lifecycle *lifecycle, memory *mangomemory.Pool,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, logWriter: logWriter, self: self, controller: controller, health: health, budget: budget,
 		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
-		ingress: ingress, metrics: metrics, registry: registry, lifecycle: lifecycle,
+		ingress: ingress, metrics: metrics, registry: registry, lifecycle: lifecycle, memory: memory,
 	}
 }
 
@@ -210,6 +212,7 @@
 			return float64(condemned)
 		},
 		CoveredDataCentres: func() float64 { return float64(d.countCoveredDataCentres()) },
+		KeptBytes:          func() float64 { return float64(d.memory.Used()) },
 	}
 }
 
--- a/internal/mangoentry/ingress.go
+++ b/internal/mangoentry/ingress.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangorelay"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -20,6 +21,10 @@
 const (
 	// bodyReadTimeout bounds the time for a caller to send the body of a request.
 	bodyReadTimeout = 10 * time.Second
+	// minBodyBuffer is the size in bytes of the first buffer for the body of a request.
+	minBodyBuffer = 4 << 10
+	// retryAfterNoMemory is the Retry-After, in seconds, of requests for whose body there is no memory.
+	retryAfterNoMemory = "1"
 	// maxTableWait bounds the time for which the ingress waits for the first configuration, which has the limits, before it
 	// accepts connections.
 	maxTableWait = 2 * time.Second
@@ -30,6 +35,9 @@
 	idleTimeoutMargin = time.Second
 )
 
+// errNoMemory means that the requests that run keep all the memory that there is for them.
+var errNoMemory = errors.New("there is no memory for the body of the request")
+
 // defaultLimits returns the limits that apply until a configuration has arrived.
 func defaultLimits() mangoroute.Limits {
 	return mangoroute.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
@@ -40,12 +48,15 @@
 	relay     *mangorelay.Relay
 	state     *mangostate.Controller
 	lifecycle *lifecycle
+	memory    *mangomemory.Pool
 	codec     platform.Codec
 	logger    *logrus.Logger
 }
 
-func newIngress(relay *mangorelay.Relay, state *mangostate.Controller, lifecycle *lifecycle, logger *logrus.Logger) *ingress {
-	return &ingress{relay: relay, state: state, lifecycle: lifecycle, logger: logger}
+func newIngress(
+	relay *mangorelay.Relay, state *mangostate.Controller, lifecycle *lifecycle, memory *mangomemory.Pool, logger *logrus.Logger,
+) *ingress {
+	return &ingress{relay: relay, state: state, lifecycle: lifecycle, memory: memory, logger: logger}
 }
 
 var _ http.Handler = (*ingress)(nil)
@@ -55,7 +66,9 @@
 	arrived := time.Now()
 	i.lifecycle.activeRequests.Add(1)
 	defer i.lifecycle.activeRequests.Add(-1)
-	body, ok := i.takeRequest(w, r)
+	kept := i.memory.Open()
+	defer kept.Close()
+	body, ok := i.takeRequest(w, r, kept)
 	if !ok {
 		return
 	}
@@ -67,8 +80,8 @@
 
 // takeRequest reads the body of a request and marks its connection as one with a request. If the body cannot be read, it answers
 // the request and reports false.
-func (i *ingress) takeRequest(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, ok := i.readBody(w, r) //nolint:contextcheck // The context that ends a body is that of the stop.
+func (i *ingress) takeRequest(w http.ResponseWriter, r *http.Request, kept *mangomemory.Account) ([]byte, bool) {
+	body, ok := i.readBody(w, r, kept) //nolint:contextcheck // The context that ends a body is that of the stop.
 	if !ok {
 		return nil, false
 	}
@@ -79,8 +92,9 @@
 	return body, true
 }
 
-// readBody reads the body of a request. If that fails it answers 408 or 413 and reports false.
-func (i *ingress) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+// readBody reads the body of a request into memory that the account takes. If that fails it answers 408, 413 or 503 and reports
+// false.
+func (i *ingress) readBody(w http.ResponseWriter, r *http.Request, kept *mangomemory.Account) ([]byte, bool) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, true
 	}
@@ -93,7 +107,7 @@
 		_ = control.SetReadDeadline(time.Now())
 		close(interrupted)
 	})
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes), r.ContentLength, kept)
 	if !stopWaiting() {
 		// The deadline must not be set after it is cleared.
 		<-interrupted
@@ -110,8 +124,12 @@
 func (i *ingress) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusRequestTimeout
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errNoMemory):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", retryAfterNoMemory)
 	}
 	i.logger.WithFields(logrus.Fields{"event": "body_unread", "caller": r.RemoteAddr, "status": status}).WithError(err).
 		Warn("the body of a request could not be read")
@@ -119,6 +137,33 @@
 	w.WriteHeader(status)
 }
 
+// readAll reads a body of a length, or of an unknown one if that is negative, into a buffer that grows as the body arrives. It
+// fails with errNoMemory if the account gets no memory for it.
+func readAll(body io.Reader, length int64, kept *mangomemory.Account) ([]byte, error) {
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			size := max(2*int64(cap(data)), minBodyBuffer)
+			if length >= int64(len(data)) {
+				// One byte more shows the end of the body.
+				size = min(size, length+1)
+			}
+			if !kept.Hold(size) {
+				return nil, errNoMemory
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // limits returns the limits of the latest configuration.
 func (i *ingress) limits() mangoroute.Limits {
 	if t := i.state.View().Table; t != nil {
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -17,6 +17,7 @@
 	"mangopath.org/mangopath/internal/mangolease"
 	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangoliveness"
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangorelay"
@@ -42,6 +43,9 @@
 	condemnedExpiry = 24 * time.Hour
 	// storeCallTimeout bounds each call to the store that takes or renews a lease.
 	storeCallTimeout = 600 * time.Millisecond
+	// requestMemoryShare is the part of the host's memory that the bodies of requests and the answers of upstreams may take
+	// together while they are kept: one in so many bytes. Buffers that grow leave about as much for the garbage collector.
+	requestMemoryShare = 6
 )
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -139,6 +143,10 @@
 	return platform.NewReplicaClient(dialer, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, limiter, broadcaster, logger)))
 }
 
+func provideMemory(s *mangomessage.RelaySettings) *mangomemory.Pool {
+	return mangomemory.New(s.GetHost().GetMemory() / requestMemoryShare)
+}
+
 // provideLimiter also makes the broadcaster deliver the limits that replicas named to other daemons.
 func provideLimiter(health *mangoreplica.HealthTracker, broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger) *mangolimit.Limiter {
 	limiter := mangolimit.New(health)
@@ -164,13 +172,13 @@
 func provideRelay(
 	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker,
 	budget *mangobudget.Budget, limiter *mangolimit.Limiter, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
-	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, slowDetector *mangoslowness.Detector, follower *mangohub.Follower,
+	metrics *mangometric.RelayMetrics, lifecycle *lifecycle, memory *mangomemory.Pool, slowDetector *mangoslowness.Detector, follower *mangohub.Follower,
 	logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
 		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, health, budget, crashes,
 		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
-		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithShutdown(lifecycle),
+		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithShutdown(lifecycle), mangorelay.WithMemory(memory),
 	)
 }
 
--- a/internal/mangoentry/stop_test.go
+++ b/internal/mangoentry/stop_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangorelay"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -143,11 +144,12 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	f := &stopFixture{daemon: &Daemon{logger: logger, lifecycle: newLifecycle()}, conns: newCallerConns(), drained: make(chan struct{})}
+	pool := mangomemory.New(1 << 20)
 	i := &ingress{lifecycle: f.daemon.lifecycle, logger: logger, state: mangostate.New(nil, nil)}
 	f.server = &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.daemon.lifecycle.activeRequests.Add(1)
 		defer f.daemon.lifecycle.activeRequests.Add(-1)
-		if _, ok := i.takeRequest(w, r); !ok {
+		if _, ok := i.takeRequest(w, r, pool.Open()); !ok {
 			return
 		}
 		if f.daemon.lifecycle.isStopping() {
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -19,7 +19,7 @@
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
 	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, newLifecycle, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -45,8 +45,9 @@
 	limiter := provideLimiter(healthTracker, broadcaster, logger)
 	replicaClient := provideEngines(dialer, healthTracker, limiter, broadcaster, logger)
 	mangoentryLifecycle := newLifecycle()
+	pool := provideMemory(settings)
 	detector := provideSlowDetector(controller, replicaClient, healthTracker, broadcaster, logger)
-	relay := provideRelay(settings, controller, dialer, healthTracker, budget, limiter, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, detector, follower, logger)
+	relay := provideRelay(settings, controller, dialer, healthTracker, budget, limiter, crashTracker, replicaClient, broadcaster, relayMetrics, mangoentryLifecycle, pool, detector, follower, logger)
 	reader := provideReader(store, mirror, seats, follower, contact, logger)
 	poller := providePoller(controller, store, contact, follower, reader, mirror, broadcaster)
 	monitor := provideMonitor(member, controller, relay, broadcaster, follower, logger)
@@ -57,8 +58,8 @@
 	server := provideHubServer(member, mirror, contact, reporter, crashTracker, broadcaster, follower, logger)
 	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
-	mangoentryIngress := newIngress(relay, controller, mangoentryLifecycle, logger)
-	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, mangoentryLifecycle)
+	mangoentryIngress := newIngress(relay, controller, mangoentryLifecycle, pool, logger)
+	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, mangoentryLifecycle, pool)
 	return daemon, nil
 }
 
@@ -67,7 +68,7 @@
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
 	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, newLifecycle, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -31,8 +31,9 @@
 	maxRotation = 10 * time.Second
 	// unconfirmedMemory is the time for which a hub without contact to the store is tried after all others.
 	unconfirmedMemory = 3 * time.Second
-	// maxSnapshotItems bounds the items of one update with all its parts.
+	// maxSnapshotItems and maxSnapshotBytes bound the items of one update with all its parts, and their values.
 	maxSnapshotItems = 1 << 17
+	maxSnapshotBytes = 32 << 20
 	// settleTime is the least time for which a hub is followed before a better one replaces it.
 	settleTime = 2 * time.Second
 )
@@ -231,8 +232,9 @@
 			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision(), "store_lost": u.GetStoreLost(), "store_back_ms": u.GetStoreBackMs()}).
 				Info("this daemon follows a hub")
 		}
-		if begun = f.apply(hub, begun, u); len(begun) > maxSnapshotItems {
-			f.endLink(hub, updates, &Error{Op: "Follow", Kind: KindStream, Err: errors.Errorf("an update of more than %d items", maxSnapshotItems)})
+		if begun = f.apply(hub, begun, u); tooLarge(begun) {
+			f.endLink(hub, updates, &Error{Op: "Follow", Kind: KindStream, Err: errors.Errorf(
+				"an update of more than %d items or %d bytes", maxSnapshotItems, maxSnapshotBytes)})
 			return false
 		}
 		f.onUpdate(u)
@@ -243,6 +245,15 @@
 	}
 }
 
+// tooLarge reports whether the items of an update exceed its bounds.
+func tooLarge(items []Item) bool {
+	size := 0
+	for _, it := range items {
+		size += len(it.Key) + len(it.Value)
+	}
+	return len(items) > maxSnapshotItems || size > maxSnapshotBytes
+}
+
 // recordUpdate records the time and the confirmation of an update.
 func (f *Follower) recordUpdate(hub candidate, u *mangomessage.FollowUpdate) {
 	now := time.Now()
--- a/internal/mangometric/metrics_test.go
+++ b/internal/mangometric/metrics_test.go
@@ -89,7 +89,7 @@
 	zero := func() float64 { return 0 }
 	is.NoErr(m.RegisterGauges(registry, RelayGauges{
 		ActiveRequests: zero, Replicas: zero, AvoidedReplicas: zero, Members: zero, ConfigurationVersion: zero, StoreAge: zero, StoreReachable: zero, HoldsPlacementLease: zero,
-		DroppedLogLines: zero, BlockedRequests: zero, CoveredDataCentres: zero,
+		DroppedLogLines: zero, BlockedRequests: zero, CoveredDataCentres: zero, KeptBytes: zero,
 	}))
 	m.Request("r", "k", "o", 200, 0)
 	m.FirstEvent("r", 0)
--- a/internal/mangometric/relay.go
+++ b/internal/mangometric/relay.go
@@ -34,6 +34,7 @@
 	DroppedLogLines      func() float64
 	BlockedRequests      func() float64
 	CoveredDataCentres   func() float64
+	KeptBytes            func() float64
 }
 
 // NewRelay returns metrics whose collectors are registered, together with those of the process and the Go runtime. The error
@@ -77,6 +78,7 @@
 		{"dropped_log_lines", "Log lines dropped since the start.", g.DroppedLogLines},
 		{"condemned_requests", "Requests that are refused because they crash upstreams.", g.BlockedRequests},
 		{"covered_data_centres", "Data centres whose replicas hold all layers.", g.CoveredDataCentres},
+		{"kept_bytes", "Bytes of requests and answers that are kept now.", g.KeptBytes},
 	}
 	for _, r := range rows {
 		c := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "mangopath", Name: r.name, Help: r.help}, r.read)
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -9,6 +9,7 @@
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangolimit"
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -105,6 +106,8 @@
 	isTrial bool
 	// refusal is why the request was refused as one that crashes replicas.
 	refusal mangocrash.Refusal
+	// memory is what the request keeps of its answers.
+	memory *mangomemory.Account
 }
 
 // Serve answers one request. It returns false if the answer is incomplete, so that the caller's connection must be
@@ -113,7 +116,9 @@
 	c := &call{
 		relay: r, request: request, writer: w, control: http.NewResponseController(w), view: r.state.View(),
 		failedReplicas: map[string]bool{}, refusingReplicas: map[string]bool{}, mayHaveRunOn: map[string]bool{}, retryPenalties: map[string]time.Duration{},
+		memory: r.memory.Open(),
 	}
+	defer c.memory.Close()
 	c.events.lastID, c.events.hasLastID = request.LastEventID, request.Resumes
 	whole := c.serve(ctx)
 	c.logDone(whole)
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -15,6 +15,7 @@
 	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangoduration"
 	"mangopath.org/mangopath/internal/mangolimit"
+	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -106,6 +107,7 @@
 	random          func() float64
 	shutdown        Shutdown
 	durations       *mangoduration.Tracker
+	memory          *mangomemory.Pool
 	handleNotice    NoticeHandler
 	inFlight        *inFlightIndex
 	// These limit the checks of connections, of stalled requests, of whole chains and of health.
@@ -145,6 +147,12 @@
 // WithShutdown sets what tells whether the daemon stops. By default it never does.
 func WithShutdown(s Shutdown) Option { return func(r *Relay) { r.shutdown = s } }
 
+// WithMemory sets the memory that all answers may take while they are kept. The default is defaultMemory.
+func WithMemory(p *mangomemory.Pool) Option { return func(r *Relay) { r.memory = p } }
+
+// defaultMemory is the memory that all answers may take while they are kept, in bytes.
+const defaultMemory = 64 << 20
+
 // New returns the relay of a daemon that runs in the given data centre.
 func New(
 	dataCentre string, state State, codec Codec, dialer Exchanger, health *mangoreplica.HealthTracker, budget *mangobudget.Budget,
@@ -153,7 +161,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		shutdown: noShutdown{}, durations: mangoduration.New(), inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
+		shutdown: noShutdown{}, durations: mangoduration.New(), memory: mangomemory.New(defaultMemory), inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
 		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
 		pendingChecks: make(chan func(ctx context.Context), maxPendingChecks),
 	}
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -1,7 +1,6 @@
 package mangorelay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -27,8 +26,11 @@
 	slowGapShare        = 0.4
 	slowFirstEventShare = 0.3
 	// maxBufferedAnswer is the largest answer in bytes that is read as a whole before it is passed on, so that another one
-	// can replace it if it breaks off. The rest of a larger one is passed on as it arrives.
+	// can replace it if it breaks off. The rest of a larger one is passed on as it arrives, passOnSize at a time.
 	maxBufferedAnswer = 256 << 10
+	passOnSize        = 16 << 10
+	// minBufferSize is the size in bytes of the first buffer for an answer.
+	minBufferSize = 4 << 10
 	// maxAnswer is the largest answer in bytes that is passed on; a longer one is broken off.
 	maxAnswer = 64 << 20
 	// answerBlock is the number of bytes of an answer other than a stream that count as progress. An upstream that sends
@@ -52,6 +54,9 @@
 			if c.events.oversized() {
 				return c.lostOrCut(c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindInvalid, errEventTooLarge))
 			}
+			if !c.holdEvents() {
+				return c.lostOrCut(resultLost)
+			}
 			if c.events.hasGap {
 				// The caller must not get events with a gap between their ids in one answer.
 				return c.lostOrCut(resultLost)
@@ -155,14 +160,15 @@
 }
 
 // bufferAnswer reads an answer as a whole and then passes it on. An answer with a status of 500 or above is kept in
-// failedAnswer instead if the request may be repeated. An answer above maxBufferedAnswer is passed on while it arrives.
+// failedAnswer instead if the request may be repeated. An answer above maxBufferedAnswer, or for which there is no memory, is
+// passed on while it arrives.
 func (c *call) bufferAnswer(callerCtx, deadlineCtx context.Context, t target, a AnswerHead, response *mangoconn.Response, wait *mangoconn.ReadWaiter) sendResult {
 	source := &blockReader{reader: response.Body, wait: wait}
-	body, err := io.ReadAll(io.LimitReader(source, maxBufferedAnswer+1))
+	body, whole, err := c.readAnswer(source)
 	if err != nil {
 		return c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindOf(deadlineCtx, err), err)
 	}
-	if len(body) > maxBufferedAnswer {
+	if !whole {
 		return c.passOn(callerCtx, deadlineCtx, t, a, body, response.ContentLength, source)
 	}
 	b := &bufferedAnswer{head: a, body: body}
@@ -217,10 +223,15 @@
 	callerCtx, deadlineCtx context.Context, t target, a AnswerHead, begin []byte, length int64, rest io.Reader,
 ) sendResult {
 	c.writeHead(a, int(max(length, -1)))
-	answer := io.MultiReader(bytes.NewReader(begin), rest)
-	data := make([]byte, len(begin))
-	for passed := 0; passed <= maxAnswer; {
-		n, err := answer.Read(data)
+	if _, err := c.writer.Write(begin); err != nil {
+		return resultCallerGone
+	}
+	passed := len(begin)
+	data := make([]byte, passOnSize)
+	// It is less than the beginning took, which is not needed any more.
+	c.memory.Hold(c.keptBytes() + passOnSize)
+	for passed <= maxAnswer {
+		n, err := rest.Read(data)
 		if n > 0 {
 			passed += n
 			if _, writeErr := c.writer.Write(data[:n]); writeErr != nil {
