Tell a new outage from a long pause in the same one

Cause: the pause after failed calls began anew if the last failure was 8 s ago, but a pause of one outage may last 12 s. Change: failures belong to one outage unless 16 s lie between them. Measured: TestPauseAfterFailure passes; nothing else depends on the constant.

--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -27,6 +27,8 @@
 	minRetryPause         = 100 * time.Millisecond
 	maxRetryPause         = 800 * time.Millisecond
 	maxUnseatedRetryPause = 8 * time.Second
+	// outageMemory is the time after a failed call from which the next one belongs to another outage. It is longer than any pause.
+	outageMemory = 2 * maxUnseatedRetryPause
 	// hubGrace is the time without a hub after which a daemon reads the store itself, plus a random time up to
 	// hubGraceJitter. A hub that has just taken its seat is found within it.
 	hubGrace       = 300 * time.Millisecond
@@ -141,7 +143,7 @@
 // pauseAfterFailure waits after a failed call, longer after each of a series. The wait ends early when this daemon no longer has to
 // read the store, when it takes or loses a seat, and when another daemon has shown that the store has changes.
 func (r *Reader) pauseAfterFailure(ctx context.Context, now time.Time) {
-	if now.Sub(r.failedAt) > maxUnseatedRetryPause {
+	if now.Sub(r.failedAt) > outageMemory {
 		// The last failure belongs to an earlier outage.
 		r.retryPause = minRetryPause
 	}
