Let a success of an own call stand until a call fails

While the watch of a hub waits, it then knew the store only by another hub, which knew it by the first: both counted it as lost, and daemons got changes late. Change: only failures run out. A daemon that has been told of a loss by its hub and had an older success finds out by its next call.

--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -5,9 +5,8 @@
 const (
 	// sameReturn is the difference up to which two times at which the store was back are taken for the same.
 	sameReturn = 500 * time.Millisecond
-	// ownContactLifetime is the time for which the result of an own call tells of the store while this daemon does not read it. It
-	// covers the time between two polls of a hub.
-	ownContactLifetime = 2 * time.Second
+	// ownFailureLifetime is the time for which a failed own call tells of the store while this daemon does not read it.
+	ownFailureLifetime = 2 * time.Second
 )
 
 // contact is what is known of the contact to the store on one way.
@@ -36,12 +35,12 @@
 	return m.hubPath
 }
 
-// SetReading records whether this daemon reads the store itself. While it does, the result of its last call stands until the
-// next one; otherwise it is soon out of date.
+// SetReading records whether this daemon reads the store itself. While it does, a failure of its last call stands until the next
+// one; otherwise it is soon out of date.
 func (m *Mirror) SetReading(reading bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// A result that is out of date does not count again because the daemon begins to read.
+	// A failure that is out of date does not count again because the daemon begins to read.
 	m.own = m.ownContact()
 	m.reading = reading
 }
@@ -57,9 +56,11 @@
 	}
 }
 
-// ownContact returns what the last own call says of the store, or contactUnknown if it is out of date. The caller holds m.mu.
+// ownContact returns what the last own call says of the store, or contactUnknown after a failure that is out of date. A success
+// stands until a call fails: a watch may wait for long, and hubs that read the store must not take each other for their only
+// way to it meanwhile. The caller holds m.mu.
 func (m *Mirror) ownContact() contact {
-	if !m.reading && m.now().Sub(m.ownAt) > ownContactLifetime {
+	if m.own == contactFailed && !m.reading && m.now().Sub(m.ownAt) > ownFailureLifetime {
 		return contactUnknown
 	}
 	return m.own
