--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -156,6 +156,7 @@
 			failed = &Error{Op: c.name, Kind: KindComponent, Err: errors.Errorf("component stopped while the daemon was running: %v", c.err)}
 		}
 	}
+	d.relay.LogUnfinished()
 	cancel()
 	for _, s := range []*http.Server{callers, readiness, metrics} {
 		// Close closes all connections even if it returns an error.
--- a/internal/mangoentry/lifecycle.go
+++ b/internal/mangoentry/lifecycle.go
@@ -43,7 +43,7 @@
 	if deregisteredAt.After(answerBy) {
 		deregisteredAt = answerBy
 	}
-	return mangorelay.ShutdownPlan{DeregisteredAt: deregisteredAt, AnswerBy: answerBy}
+	return mangorelay.ShutdownPlan{BeganAt: now, DeregisteredAt: deregisteredAt, AnswerBy: answerBy}
 }
 
 // beginShutdown marks the daemon as stopping.
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -119,6 +119,7 @@
 		memory: r.memory.Open(),
 	}
 	defer c.memory.Close()
+	defer r.running.begin(request)()
 	c.events.lastID, c.events.hasLastID = request.LastEventID, request.Resumes
 	whole := c.serve(ctx)
 	c.logDone(whole)
--- a/internal/mangorelay/log.go
+++ b/internal/mangorelay/log.go
@@ -33,6 +33,25 @@
 	return time.Since(c.lastEventAt)
 }
 
+// logLate logs whether a request that arrives in a stop begins, and what decided it.
+func (c *call) logLate(r lateRequest, begins bool, sinceStop time.Duration) {
+	c.relay.logger.WithFields(logrus.Fields{
+		"event": "late_request", "request": c.request.ID, "route": c.route.Name, "begins": begins, "deregistered": r.deregistered,
+		"stop_ms": sinceStop.Milliseconds(), "left_ms": r.timeLeft.Milliseconds(), "timeout_ms": r.timeout.Milliseconds(),
+		"expected_ms": r.expected.Milliseconds(),
+	}).Info("a request arrived while the daemon stops")
+}
+
+// stopTimes returns the log fields that say when a request arrived and ended, counted from the signal to stop.
+func (c *call) stopTimes(took time.Duration) logrus.Fields {
+	plan, stopping := c.relay.shutdown.Plan()
+	if !stopping {
+		return nil
+	}
+	arrived := c.request.ArrivedAt.Sub(plan.BeganAt)
+	return logrus.Fields{"stop_arrived_ms": arrived.Milliseconds(), "stop_ended_ms": (arrived + took).Milliseconds()}
+}
+
 // logDone counts and logs the end of a request.
 func (c *call) logDone(whole bool) {
 	took := time.Since(c.request.ArrivedAt)
@@ -52,7 +71,7 @@
 		"customer": c.customer.Name, "service": c.serviceName, "status": c.status, "outcome": c.outcome, "whole": whole,
 		"sends": c.sends, "runs": len(c.mayHaveRunOn), "first_ms": c.firstEventDelay.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
 		"took_ms": took.Milliseconds(),
-	})
+	}).WithFields(c.stopTimes(took))
 	if c.outcome == outcomeNoUpstream {
 		entry = entry.WithField("covered", strings.Join(c.coveredDataCentres(), ","))
 	}
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -110,6 +110,7 @@
 	memory          *mangomemory.Pool
 	handleNotice    NoticeHandler
 	inFlight        *inFlightIndex
+	running         *runningCalls
 	// These limit the checks of connections, of stalled requests, of whole chains and of health.
 	connectionChecks *checkLimiter
 	stallChecks      *checkLimiter
@@ -161,7 +162,7 @@
 	r := &Relay{
 		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		shutdown: noShutdown{}, durations: mangoduration.New(), memory: mangomemory.New(defaultMemory), inFlight: newInFlightIndex(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
+		shutdown: noShutdown{}, durations: mangoduration.New(), memory: mangomemory.New(defaultMemory), inFlight: newInFlightIndex(), running: newRunningCalls(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
 		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
 		pendingChecks: make(chan func(ctx context.Context), maxPendingChecks),
 	}
--- a/internal/mangorelay/shutdown.go
+++ b/internal/mangorelay/shutdown.go
@@ -17,6 +17,8 @@
 
 // ShutdownPlan has the times of a stop.
 type ShutdownPlan struct {
+	// BeganAt is when the daemon was told to stop.
+	BeganAt time.Time
 	// DeregisteredAt is when the load balancer sends no new connections any more, unless it has no other daemon.
 	DeregisteredAt time.Time
 	// AnswerBy is when all requests have to be answered.
@@ -74,11 +76,14 @@
 	if !stopping {
 		return true
 	}
-	return lateRequest{
+	r := lateRequest{
 		kind: c.route.Kind, repeatable: c.route.Repeatable(), deregistered: now.After(plan.DeregisteredAt),
 		timeLeft: plan.AnswerBy.Sub(now), timeout: c.computeDeadline().Sub(now),
 		expected: c.relay.durations.Expected(c.route.Name), target: c.route.LatencyTarget,
-	}.canFinish()
+	}
+	begins := r.canFinish()
+	c.logLate(r, begins, now.Sub(plan.BeganAt))
+	return begins
 }
 
 // isStopping reports whether the daemon stops.
