Refuse what is not sure to end once the load balancer knows of a stop

Cause: after the 2.3 s in which the load balancer may not know of the stop, a request began if twice the duration of the slowest recent requests of its route was left. What others took bounds nothing: a long one is forgotten after fifty shorter ones, and no recent request says how long the next one is. Class: a recent maximum taken for a bound.

Now only a request whose own deadline is earlier than the end of answers begins then; its caller is refused at once otherwise and goes to another daemon. The property test holds that nothing begins that is neither sure to end nor came before the load balancer could know, and that nothing sure is refused.

--- a/internal/mangoshutdown/request_test.go
+++ b/internal/mangoshutdown/request_test.go
@@ -47,9 +47,13 @@
 		{"stream, the load balancer may not know", lateRequest{timeLeft: 5 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s, Expected: 6 * s}}, true},
 		{"stream that cannot resume, likewise", lateRequest{timeLeft: 5 * s, Request: Request{Stream: true, Timeout: 20 * s, Expected: 6 * s}}, false},
 		{"stream that cannot resume, nothing is known", lateRequest{timeLeft: 5 * s, Request: Request{Stream: true, Timeout: 20 * s}}, true},
+		{"stream, little time is left", lateRequest{timeLeft: s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s}}, false},
 		{"stream, the load balancer knows", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s, Expected: 3 * s}}, false},
-		{"short stream, the load balancer knows", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s, Expected: s}}, true},
-		{"stream of which nothing is known, likewise", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s}}, false},
+		{"stream, likewise, others were short", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s, Expected: s}}, false},
+		{"stream, likewise, nothing is known", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Repeatable: true, Timeout: 20 * s}}, false},
+		{"stream, likewise, its deadline is earlier", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Stream: true, Timeout: 4 * s, Expected: 6 * s}}, true},
+		{"the load balancer knows, others were quick", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Repeatable: true, Timeout: 20 * s, Target: s / 10, Expected: s / 50}}, false},
+		{"likewise, its deadline is earlier", lateRequest{deregistered: true, timeLeft: 4 * s, Request: Request{Timeout: 4 * s, Target: 3 * s, Expected: 3 * s}}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -58,27 +62,33 @@
 	}
 }
 
-// Guards against a request that may not be repeated and is begun although such requests lately took longer than what is left,
-// and against a decision that turns from refusing to beginning as time passes.
+// Guards against a request that begins in a stop, is not sure to end in it and could have gone to another daemon, against a refusal
+// of one that is sure to end, and against a decision that turns from refusing to beginning as time passes.
 func TestLateRequestProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		duration := func(name string) time.Duration {
 			return time.Duration(rapid.IntRange(0, 30000).Draw(t, name)) * time.Millisecond
 		}
-		r := lateRequest{
-			Request: Request{
-				Stream: rapid.Bool().Draw(t, "stream"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
-				Timeout: duration("timeout"), Expected: duration("expected"), Target: duration("target"),
-			},
-			deregistered: rapid.Bool().Draw(t, "deregistered"), timeLeft: duration("left"),
+		r := Request{
+			Stream: rapid.Bool().Draw(t, "stream"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			Timeout: duration("timeout"), Expected: duration("expected"), Target: duration("target"),
 		}
-		if r.admitted() && !r.Repeatable && r.Expected > r.timeLeft && r.Timeout > r.timeLeft {
-			t.Fatalf("%+v begins", r)
+		plan := NewPlan(time.Now(), duration("grace"))
+		arrived := plan.BeganAt.Add(duration("since"))
+		sure := !arrived.Add(r.Timeout).After(plan.AnswerBy)
+		known := arrived.After(plan.DeregisteredAt)
+		admitted := plan.Admits(r, arrived)
+		switch {
+		case sure && !admitted:
+			t.Fatalf("%+v is refused at %v of %+v", r, arrived, plan)
+		case admitted && known && !sure:
+			t.Fatalf("%+v begins at %v of %+v", r, arrived, plan)
+		case admitted && !sure && !r.Repeatable && r.Expected > plan.AnswerBy.Sub(arrived):
+			t.Fatalf("%+v begins at %v of %+v although such requests take longer", r, arrived, plan)
 		}
-		later := r
-		later.timeLeft -= duration("later")
-		if later.admitted() && !r.admitted() {
-			t.Fatalf("%+v begins although %+v does not", later, r)
+		later := arrived.Add(duration("later"))
+		if plan.Admits(r, later) && !admitted {
+			t.Fatalf("%+v begins at %v of %+v and is refused at %v", r, later, plan, arrived)
 		}
 	})
 }
