Let answers that have begun use the rest of the grace period

Cause: one moment for two things. The 1.2 s are for answers that have to reach their callers before the process is killed; an answer that has begun and would be cut at that moment has no use for them. Answers that have not begun still end 1.2 s before the end of the grace period, with a whole 502, 503 or 408. Those that have begun now go on until 0.5 s before it; 0.2 s later all connections are closed, and the rest is for the end of the process. A write to a caller that does not read ends with the cut, so the handler returns.

--- a/internal/mangoentry/caller_conns.go
+++ b/internal/mangoentry/caller_conns.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // callerConns tracks the callers' connections, so that a stop closes those that carry no request and waits for the others.
@@ -65,6 +66,18 @@
 	return c.closeQuiet(func(state http.ConnState) bool { return state != http.StateActive })
 }
 
+// closeUntil closes unused connections up to a time, or until no caller waits for an answer, and returns their number.
+func (c *callerConns) closeUntil(end time.Time) int {
+	n := 0
+	for {
+		n += c.closeUnused()
+		if c.pending() == 0 || !time.Now().Before(end) {
+			return n
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // closeQuiet closes the connections in matching states on which no request has begun to arrive, and returns their number.
 func (c *callerConns) closeQuiet(matches func(http.ConnState) bool) int {
 	c.mu.Lock()
--- a/internal/mangoentry/drain.go
+++ b/internal/mangoentry/drain.go
@@ -5,16 +5,17 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangoshutdown"
 )
 
 // drainPollInterval is the time between two checks whether draining is complete.
 const drainPollInterval = 50 * time.Millisecond
 
-// drain waits, up to the end of the plan, until the load balancer sends no more callers, all requests are answered, and all
-// connections that were accepted have sent their request or are closed. It closes idle connections meanwhile. Then the
-// requests that still run get their last answer, and the listener is closed.
+// drain waits, up to the time of the plan, until the load balancer sends no more callers, all requests are answered, and all
+// connections that were accepted have sent their request or are closed. It closes idle connections meanwhile. Then the requests
+// that still run get their last answer and the listener is closed. Answers that have begun go on until the plan cuts them.
 func (d *Daemon) drain(conns *callerConns, listener net.Listener) {
-	start := time.Now()
 	plan, _ := d.shutdown.Plan()
 	idle := 0
 	for {
@@ -24,17 +25,22 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	d.logger.WithFields(logrus.Fields{
-		"event": "drained", "active": d.shutdown.Active(), "pending_connections": conns.pending(), "idle_closed": idle,
-		"took_ms": time.Since(start).Milliseconds(),
-	}).Info("draining ended")
+	d.logDrained(plan, conns, "drained", idle)
 	d.shutdown.EndAnswers()
 	// The listener is closed whatever the error.
 	_ = listener.Close()
-	for until := plan.LastAnswersBy(time.Now()); time.Now().Before(until); time.Sleep(drainPollInterval) {
-		conns.closeUnused()
-		if conns.pending() == 0 {
-			break
-		}
+	idle = conns.closeUntil(plan.CutBy)
+	if conns.pending() > 0 {
+		d.logDrained(plan, conns, "cut", idle)
 	}
+	d.shutdown.Cut()
+	conns.closeUntil(plan.CloseBy)
+}
+
+// logDrained logs the end of a part of the drain.
+func (d *Daemon) logDrained(plan mangoshutdown.Plan, conns *callerConns, event string, idle int) {
+	d.logger.WithFields(logrus.Fields{
+		"event": event, "active": d.shutdown.Active(), "pending_connections": conns.pending(), "idle_closed": idle,
+		"took_ms": time.Since(plan.BeganAt).Milliseconds(),
+	}).Info("a part of the drain has ended")
 }
--- a/internal/mangoentry/stop_test.go
+++ b/internal/mangoentry/stop_test.go
@@ -179,6 +179,14 @@
 	return f
 }
 
+// stopPlan returns a plan with its moments counted from the start of the stop.
+func stopPlan(start time.Time, deregisteredAt, answerBy time.Duration) mangoshutdown.Plan {
+	return mangoshutdown.Plan{
+		BeganAt: start, DeregisteredAt: start.Add(deregisteredAt), AnswerBy: start.Add(answerBy),
+		CutBy: start.Add(answerBy + 500*time.Millisecond), CloseBy: start.Add(answerBy + 700*time.Millisecond),
+	}
+}
+
 // stop begins a stop as Daemon.Run does.
 func (f *stopFixture) stop(plan mangoshutdown.Plan) {
 	f.daemon.shutdown.Begin(plan)
@@ -226,7 +234,7 @@
 			_, err = io.WriteString(conn, tt.before)
 			is.NoErr(err)
 			start := time.Now()
-			f.stop(mangoshutdown.Plan{DeregisteredAt: start.Add(300 * time.Millisecond), AnswerBy: start.Add(tt.end)})
+			f.stop(stopPlan(start, 300*time.Millisecond, tt.end))
 			time.Sleep(tt.sendAt)
 			_, err = io.WriteString(conn, tt.rest)
 			is.NoErr(err)
@@ -248,7 +256,7 @@
 	is := is.New(t)
 	f := newStopFixture(t, 0)
 	start := time.Now()
-	f.stop(mangoshutdown.Plan{DeregisteredAt: start.Add(300 * time.Millisecond), AnswerBy: start.Add(time.Minute)})
+	f.stop(stopPlan(start, 300*time.Millisecond, time.Minute))
 	<-f.drained
 	is.True(time.Since(start) < 10*time.Second)
 }
@@ -292,7 +300,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	start := time.Now()
-	f.stop(mangoshutdown.Plan{DeregisteredAt: start.Add(300 * time.Millisecond), AnswerBy: start.Add(2 * time.Second)})
+	f.stop(stopPlan(start, 300*time.Millisecond, 2*time.Second))
 	group.Wait()
 	<-f.drained
 	is.True(answered.Load() > 0)
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -72,6 +72,8 @@
 	sendsArrived int
 	// failedAnswer is the last complete answer with a status of 500 or above; it is passed on if no later send succeeds.
 	failedAnswer *bufferedAnswer
+	// gate lets the answer begin unless the daemon begins none any more.
+	gate answerGate
 	// started says that the head of the answer has been written to the caller.
 	started bool
 	// streamType is the Content-Type of that head.
@@ -134,8 +136,8 @@
 	_ = c.control.SetWriteDeadline(c.deadline.Add(2 * time.Second))
 	deadlineCtx, cancel := context.WithDeadline(ctx, c.deadline.Add(-answerMargin))
 	defer cancel()
-	// At the end of a stop the request is answered as if its deadline had passed.
-	defer context.AfterFunc(c.relay.shutdown.AnswerContext(), cancel)() //nolint:contextcheck // It is the context of the stop.
+	// At the end of a stop the request ends as if its deadline had passed.
+	defer c.endWithShutdown(cancel)() //nolint:contextcheck // The contexts are those of the stop.
 	return c.sendUntilDone(ctx, deadlineCtx)
 }
 
@@ -192,7 +194,7 @@
 // finishUndelivered gives the final answer to a request that no send has delivered: the last failed answer of an
 // upstream, or a refusal. It returns false if the answer has been started, which is then incomplete.
 func (c *call) finishUndelivered(reason string, retryAfter time.Duration) bool {
-	if c.relay.shutdown.AnswerContext().Err() != nil {
+	if c.endedByShutdown() {
 		reason, retryAfter = outcomeStopping, retryAfterStopping
 	}
 	switch {
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -62,6 +62,9 @@
 				return c.lostOrCut(resultLost)
 			}
 			if len(whole) > 0 {
+				if !c.gate.begin() {
+					return resultExpired
+				}
 				if writeErr := c.forwardEvents(t, a, whole); writeErr != nil {
 					return resultCallerGone
 				}
@@ -222,6 +225,9 @@
 func (c *call) passOn(
 	callerCtx, deadlineCtx context.Context, t target, a AnswerHead, begin []byte, length int64, rest io.Reader,
 ) sendResult {
+	if !c.gate.begin() {
+		return resultExpired
+	}
 	c.writeHead(a, int(max(length, -1)))
 	if _, err := c.writer.Write(begin); err != nil {
 		return resultCallerGone
--- a/internal/mangoshutdown/plan.go
+++ b/internal/mangoshutdown/plan.go
@@ -6,13 +6,16 @@
 	// deregistrationTime is the time within which the load balancer notices that a daemon is not ready: it makes two checks, a
 	// second apart. After it the load balancer sends callers there only if other daemons of the data centre are down, too.
 	deregistrationTime = 2300 * time.Millisecond
-	// maxExitMargin and exitMarginShare bound the part of the grace period that is left for last answers and the end of the
-	// process, in time and as a share of the grace period.
-	maxExitMargin   = 1200 * time.Millisecond
-	exitMarginShare = 6
-	// lastAnswerTime is the time after AnswerBy in which requests that still run get their last answer, and those that arrive a
-	// refusal.
-	lastAnswerTime = 500 * time.Millisecond
+	// maxAnswerMargin and answerMarginShare bound the part of the grace period between AnswerBy and its end, in time and as a share
+	// of the grace period. A daemon may handle the signal later than it was sent, and the last answers need time on their way.
+	maxAnswerMargin   = 1200 * time.Millisecond
+	answerMarginShare = 6
+	// maxCutMargin and cutMarginShare bound the part of the grace period between CutBy and its end in the same way. Nothing is
+	// answered after CutBy, so it is only for the end of the process.
+	maxCutMargin   = 500 * time.Millisecond
+	cutMarginShare = 16
+	// closeShare is the share of that part in which the cut requests end and their connections are closed.
+	closeShare = 0.4
 )
 
 // Plan has the moments of a stop. It is immutable.
@@ -21,27 +24,36 @@
 	BeganAt time.Time
 	// DeregisteredAt is when the load balancer sends no new connections any more, unless it has no other daemon.
 	DeregisteredAt time.Time
-	// AnswerBy is when all requests have to be answered.
+	// AnswerBy is when all requests have to be answered whose answer has not begun.
 	AnswerBy time.Time
+	// CutBy is when answers that have begun are cut off.
+	CutBy time.Time
+	// CloseBy is when all connections are closed and the process begins to end.
+	CloseBy time.Time
 }
 
 // NewPlan returns the plan of a stop that begins now and has to end within the grace period.
 func NewPlan(now time.Time, gracePeriod time.Duration) Plan {
-	answerBy := now.Add(gracePeriod - min(maxExitMargin, gracePeriod/exitMarginShare))
+	answerBy := now.Add(gracePeriod - min(maxAnswerMargin, gracePeriod/answerMarginShare))
+	cutMargin := min(maxCutMargin, gracePeriod/cutMarginShare)
+	cutBy := now.Add(gracePeriod - cutMargin)
+	closeBy := cutBy.Add(time.Duration(closeShare * float64(cutMargin)))
 	deregisteredAt := now.Add(deregistrationTime)
 	if deregisteredAt.After(answerBy) {
 		deregisteredAt = answerBy
 	}
-	return Plan{BeganAt: now, DeregisteredAt: deregisteredAt, AnswerBy: answerBy}
+	return Plan{BeganAt: now, DeregisteredAt: deregisteredAt, AnswerBy: answerBy, CutBy: cutBy, CloseBy: closeBy}
 }
 
 // Phase returns the phase of the stop at a time.
 func (p Plan) Phase(now time.Time) Phase {
 	switch {
-	case !now.After(p.DeregisteredAt):
+	case now.Before(p.AnswerBy) && !now.After(p.DeregisteredAt):
 		return Deregistering
 	case now.Before(p.AnswerBy):
 		return Draining
+	case now.Before(p.CutBy):
+		return Finishing
 	default:
 		return Closing
 	}
@@ -52,13 +64,10 @@
 func (p Plan) DrainComplete(now time.Time, active int64, pending int) bool {
 	switch p.Phase(now) {
 	case Deregistering:
-		return !now.Before(p.AnswerBy)
+		return false
 	case Draining:
 		return active == 0 && pending == 0
 	default:
 		return true
 	}
 }
-
-// LastAnswersBy returns the time up to which the last answers are written, for a drain that ended at a time.
-func (p Plan) LastAnswersBy(drained time.Time) time.Time { return drained.Add(lastAnswerTime) }
--- a/internal/mangoshutdown/shutdown.go
+++ b/internal/mangoshutdown/shutdown.go
@@ -10,15 +10,16 @@
 	active atomic.Int64
 	// plan is nil until the daemon is told to stop.
 	plan atomic.Pointer[Plan]
-	// answerContext is ended by EndAnswers. It belongs to no call: it is the signal to all that run.
-	answerContext context.Context
-	endAnswers    context.CancelFunc
+	// answerContext is ended by EndAnswers and cutContext by Cut. They belong to no call: they are signals to all that run.
+	answerContext, cutContext context.Context
+	endAnswers, cut           context.CancelFunc
 }
 
 // New returns the Shutdown of a daemon that is not stopping.
 func New() *Shutdown {
 	s := &Shutdown{}
 	s.answerContext, s.endAnswers = context.WithCancel(context.Background())
+	s.cutContext, s.cut = context.WithCancel(context.Background())
 	return s
 }
 
@@ -45,8 +46,17 @@
 // Active returns the number of requests in flight.
 func (s *Shutdown) Active() int64 { return s.active.Load() }
 
-// AnswerContext ends when the requests that still run have to get their final answer.
+// AnswerContext ends when the requests whose answer has not begun have to get their final answer.
 func (s *Shutdown) AnswerContext() context.Context { return s.answerContext }
 
+// CutContext ends when answers that have begun are cut off.
+func (s *Shutdown) CutContext() context.Context { return s.cutContext }
+
 // EndAnswers ends the context of AnswerContext.
 func (s *Shutdown) EndAnswers() { s.endAnswers() }
+
+// Cut ends the context of CutContext, and that of AnswerContext.
+func (s *Shutdown) Cut() {
+	s.endAnswers()
+	s.cut()
+}
