End a drain only when no accepted connection is left uncounted

A caller could lose its connection, or get 502 with seconds of the grace period left, when its request came just as a stopping daemon found nothing left to do.

Cause: the drain counted connections from the HTTP server's report on, ended the answers before it closed the listener, and the admission did not know of that end. Now Accept counts a connection, the listener is closed before the check that ends the answers, that check waits for the last connection that Accept returns, a request that comes after the end is refused with 503, and any close of a connection keeps it from taking a request.

--- a/internal/mangoentry/caller_conn.go
+++ b/internal/mangoentry/caller_conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -12,16 +13,27 @@
 	"golang.org/x/sys/unix"
 )
 
-// callerListener accepts connections as callerConns.
-type callerListener struct{ net.Listener }
+// callerListener accepts connections as type callerConn and counts each before the HTTP server knows of it.
+type callerListener struct {
+	net.Listener
+	conns *callerConns
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.conns.endAccept()
+	}
+	if err != nil {
+		return nil, err
+	}
+	tracked, err := newCallerConn(conn)
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(conn)
+	l.conns.trackState(tracked, http.StateNew)
+	return tracked, nil
 }
 
 // callerConn is a connection of a caller that knows whether a request has begun to arrive on it. Reading bytes and closing the
@@ -33,7 +45,7 @@
 	mu sync.Mutex
 	// begun says that bytes were read which belong to no request that the handler has.
 	begun bool
-	// closed says that the connection was closed as unused.
+	// closed says that the connection was closed.
 	closed bool
 }
 
@@ -138,14 +150,22 @@
 	return c.begun || c.hasUnreadBytes()
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	// It waits for a read that may be waiting for c.mu, so it is called without it.
+	return c.Conn.Close()
+}
+
 // closeIfQuiet closes the connection unless a request has begun to arrive, and reports whether it did. The connection would be
 // reset then, and its caller would get no answer.
 func (c *callerConn) closeIfQuiet() bool {
 	if !c.markClosed() {
 		return false
 	}
-	// Close waits for a read that may be waiting for c.mu, so it is called without it. An error means that the caller has closed
-	// the connection meanwhile, which is fine.
+	// An error means that the caller has closed the connection meanwhile, which is fine.
 	_ = c.Close()
 	return true
 }
--- a/internal/mangoentry/caller_conns.go
+++ b/internal/mangoentry/caller_conns.go
@@ -13,9 +13,26 @@
 	mu sync.Mutex
 	// states has the open connections with their states as the HTTP server sees them.
 	states map[*callerConn]http.ConnState
+	// acceptEnded is closed when the listener has returned its last connection.
+	acceptEnded chan struct{}
+	endAccept   func()
 }
 
-func newCallerConns() *callerConns { return &callerConns{states: map[*callerConn]http.ConnState{}} }
+func newCallerConns() *callerConns {
+	c := &callerConns{states: map[*callerConn]http.ConnState{}, acceptEnded: make(chan struct{})}
+	c.endAccept = sync.OnceFunc(func() { close(c.acceptEnded) })
+	return c
+}
+
+// awaitAccepted waits until the listener, which has been closed, has returned its last connection, but no longer than to a time.
+func (c *callerConns) awaitAccepted(end time.Time) {
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case <-c.acceptEnded:
+	case <-timer.C:
+	}
+}
 
 // trackServer makes a server that serves a listener of this type report its connections.
 func (c *callerConns) trackServer(server *http.Server) {
--- a/internal/mangoentry/caller_conns_test.go
+++ b/internal/mangoentry/caller_conns_test.go
@@ -24,7 +24,7 @@
 		_, _ = io.WriteString(w, "done")
 	}))
 	conns.trackServer(server.Config)
-	server.Listener = callerListener{server.Listener}
+	server.Listener = callerListener{server.Listener, conns}
 	server.Start()
 	defer server.Close()
 	get := func(path string) (string, error) {
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -137,7 +137,7 @@
 	run("peers", func() error { return peerServer.Serve(componentCtx, listeners.peers) })
 	run("readiness", func() error { return readiness.Serve(listeners.readiness) })
 	run("metrics", func() error { return metrics.Serve(listeners.metrics) })
-	run("callers", func() error { return d.ingress.serve(componentCtx, callers, callerListener{listeners.callers}) })
+	run("callers", func() error { return d.ingress.serve(componentCtx, callers, callerListener{listeners.callers, conns}) })
 	d.logger.WithFields(logrus.Fields{
 		"event": "started", "host": d.self.Name, "data_centre": d.settings.GetHost().GetDataCentre(),
 		"callers": d.settings.GetIngress().GetAddress(), "peers": d.self.Address, "metrics": d.settings.GetIngress().GetMetricsAddress(),
--- a/internal/mangoentry/drain.go
+++ b/internal/mangoentry/drain.go
@@ -13,22 +13,18 @@
 const drainPollInterval = 50 * time.Millisecond
 
 // drain waits, up to the time of the plan, until the load balancer sends no more callers, all requests are answered, and all
-// connections that were accepted have sent their request or are closed. It closes idle connections meanwhile. Then the requests
-// that still run get their last answer and the listener is closed. Answers that have begun go on until the plan cuts them.
+// connections that were accepted have sent their request or are closed. It closes idle connections meanwhile. Then the listener
+// is closed, the rest that was accepted until then is served in the same way, and requests that still run get their last answer.
+// Answers that have begun go on until the plan cuts them.
 func (d *Daemon) drain(conns *callerConns, listener net.Listener) {
 	plan, _ := d.shutdown.Plan()
-	idle := 0
-	for {
-		idle += conns.closeIdle()
-		if plan.DrainComplete(time.Now(), d.shutdown.Active(), conns.pending()) {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
+	idle := d.awaitQuiet(plan, conns)
 	d.logDrained(plan, conns, "drained", idle)
-	d.shutdown.EndAnswers()
 	// The listener is closed whatever the error.
 	_ = listener.Close()
+	conns.awaitAccepted(plan.AnswerBy)
+	d.awaitQuiet(plan, conns)
+	d.shutdown.EndAnswers()
 	idle = conns.closeUntil(plan.CutBy)
 	if conns.pending() > 0 {
 		d.logDrained(plan, conns, "cut", idle)
@@ -37,6 +33,18 @@
 	conns.closeUntil(plan.CloseBy)
 }
 
+// awaitQuiet closes idle connections until the plan lets the drain end, and returns their number.
+func (d *Daemon) awaitQuiet(plan mangoshutdown.Plan, conns *callerConns) int {
+	idle := 0
+	for {
+		idle += conns.closeIdle()
+		if plan.DrainComplete(time.Now(), d.shutdown.Active(), conns.pending()) {
+			return idle
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // logDrained logs the end of a part of the drain.
 func (d *Daemon) logDrained(plan mangoshutdown.Plan, conns *callerConns, event string, idle int) {
 	d.logger.WithFields(logrus.Fields{
--- a/internal/mangoentry/last_answer_test.go
+++ b/internal/mangoentry/last_answer_test.go
@@ -86,7 +86,7 @@
 	if f.listener, err = new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	f.gated = gatedListener{callerListener{f.listener}, make(chan struct{}, 10), make(chan struct{})}
+	f.gated = gatedListener{callerListener{f.listener, f.conns}, make(chan struct{}, 10), make(chan struct{})}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/mangoentry/stop_test.go
+++ b/internal/mangoentry/stop_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn, err := callerListener{l}.Accept()
+	conn, err := callerListener{l, newCallerConns()}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -170,7 +170,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = f.server.Serve(callerListener{f.listener})
+		_ = f.server.Serve(callerListener{f.listener, f.conns})
 	}()
 	t.Cleanup(func() {
 		_ = f.server.Close()
--- a/internal/mangorelay/shutdown.go
+++ b/internal/mangorelay/shutdown.go
@@ -39,7 +39,8 @@
 		Stream: c.route.Kind == mangoroute.Stream, Repeatable: c.route.Repeatable(), Timeout: c.computeDeadline().Sub(now),
 		Expected: c.relay.durations.Expected(c.route.Name), Target: c.route.LatencyTarget,
 	}
-	admitted := plan.Admits(r, now)
+	// A drain that had nothing left to do ends the answers before the time of the plan.
+	admitted := c.relay.shutdown.AnswerContext().Err() == nil && plan.Admits(r, now)
 	c.logLate(plan, r, admitted, now)
 	return admitted
 }
