Take a caller that reads slowly not for a silent replica

Cause: the time without progress of a replica went on while the daemon waited in a write to the caller and read nothing. Then the next read gave up before it looked at what had arrived. Class: one clock for two parties. The time of a write to the caller no longer counts, nor does it make the gaps of a stream longer.

--- a/internal/mangoconn/waiter.go
+++ b/internal/mangoconn/waiter.go
@@ -39,6 +39,14 @@
 	w.progressAt = time.Now()
 }
 
+// Exclude takes a time that has just passed out of the time without progress: nobody read the answer in it, as the reader waited
+// for something else than the upstream.
+func (w *ReadWaiter) Exclude(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progressAt = w.progressAt.Add(d)
+}
+
 // silence returns the time since the last progress.
 func (w *ReadWaiter) silence() time.Duration {
 	w.mu.Lock()
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -65,9 +65,10 @@
 				if !c.gate.begin() {
 					return resultExpired
 				}
-				if writeErr := c.forwardEvents(t, a, whole); writeErr != nil {
+				if writeErr := excludeWrite(wait, func() error { return c.forwardEvents(t, a, whole) }); writeErr != nil {
 					return resultCallerGone
 				}
+				c.lastEventAt = time.Now()
 			}
 		}
 		if err == nil {
@@ -80,6 +81,14 @@
 	}
 }
 
+// excludeWrite calls a function that writes to the caller. A caller that reads slowly does not make its upstream silent.
+func excludeWrite(wait *mangoconn.ReadWaiter, write func() error) error {
+	begun := time.Now()
+	err := write()
+	wait.Exclude(time.Since(begun))
+	return err
+}
+
 // lostOrCut turns the loss of a started stream into resultCut if the route does not allow a repeat.
 func (c *call) lostOrCut(r sendResult) sendResult {
 	if r == resultLost && c.started && !c.route.Repeatable() {
@@ -223,13 +232,19 @@
 // passOn passes on a large answer, of which the first bytes have been read, while the rest arrives. length is negative if it
 // is not known. If the answer breaks off or exceeds maxAnswer, the caller's connection is closed before its end.
 func (c *call) passOn(
-	callerCtx, deadlineCtx context.Context, t target, a AnswerHead, begin []byte, length int64, rest io.Reader,
+	callerCtx, deadlineCtx context.Context, t target, a AnswerHead, begin []byte, length int64, rest *blockReader,
 ) sendResult {
 	if !c.gate.begin() {
 		return resultExpired
 	}
 	c.writeHead(a, int(max(length, -1)))
-	if _, err := c.writer.Write(begin); err != nil {
+	write := func(data []byte) error {
+		return excludeWrite(rest.wait, func() error {
+			_, err := c.writer.Write(data)
+			return err
+		})
+	}
+	if write(begin) != nil {
 		return resultCallerGone
 	}
 	passed := len(begin)
@@ -240,7 +255,7 @@
 		n, err := rest.Read(data)
 		if n > 0 {
 			passed += n
-			if _, writeErr := c.writer.Write(data[:n]); writeErr != nil {
+			if write(data[:n]) != nil {
 				return resultCallerGone
 			}
 		}
