--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -62,8 +62,14 @@
 	}
 }
 
-func provideStore(s *mangomessage.RelaySettings, metrics *mangometric.RelayMetrics) *platform.Store {
-	return platform.NewStore(s.GetStore().GetAddress(), milliseconds(s.GetStore().GetTimeout()), platform.WithCallObserver(metrics.CountStoreCall))
+func provideStore(s *mangomessage.RelaySettings, metrics *mangometric.RelayMetrics, logger *logrus.Logger) *platform.Store {
+	return platform.NewStore(
+		s.GetStore().GetAddress(), milliseconds(s.GetStore().GetTimeout()), platform.WithCallObserver(metrics.CountStoreCall),
+		platform.WithEraObserver(func(e platform.EraChange) {
+			logger.WithFields(logrus.Fields{"event": "store_era", "era": e.Era, "previous": e.Previous, "call": e.Call, "status": e.Status}).
+				Info("an answer of the store has another era than the answer before")
+		}),
+	)
 }
 
 func provideController(mirror *mangohub.Mirror, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := provideStore(settings, relayMetrics)
+	store := provideStore(settings, relayMetrics, logger)
 	contact := mangostate.NewContact()
 	seats := provideSeats(settings, member, mangoentryBootID, store, controller, contact, logger)
 	follower := provideFollower(member, client, controller, mirror, seats, logger)
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -37,6 +37,8 @@
 	// to unconfirmedJitter: the store may turn away only some of the daemons.
 	unconfirmedGrace  = 400 * time.Millisecond
 	unconfirmedJitter = 1000 * time.Millisecond
+	// snapshotLogInterval is the least time between two log lines on snapshots.
+	snapshotLogInterval = time.Second
 	// deafTime is the time for which a hub reads the store itself after another one has lagged behind.
 	deafTime = 2 * time.Second
 	// roleCheckInterval is the time between two checks whether this daemon has to read the store.
@@ -74,6 +76,9 @@
 	// grace and unconfirmed are the times to wait, drawn anew whenever the link changes.
 	grace, unconfirmed time.Duration
 	drawnFor           Link
+	// snapshots is the number of snapshots since the last log line on them, at snapshotLoggedAt.
+	snapshots        int
+	snapshotLoggedAt time.Time
 	// deafAt is when the user of the mirror last gave up waiting for a change that the store has.
 	deafAt time.Time
 }
@@ -114,7 +119,9 @@
 		failed := false
 		switch {
 		case err == nil && snapshot:
+			known := r.mirror.Revision()
 			r.mirror.Load(items, revision)
+			r.logSnapshot(len(items), revision, known, compacted, now)
 		case err == nil:
 			r.mirror.Append(items, revision)
 			if len(items) > 0 {
@@ -140,6 +147,18 @@
 	return ctx.Err()
 }
 
+// logSnapshot logs a snapshot, with the revision that the mirror had before it and the one that it has now.
+func (r *Reader) logSnapshot(items int, revision, known uint64, compacted bool, now time.Time) {
+	r.snapshots++
+	if now.Sub(r.snapshotLoggedAt) < snapshotLogInterval {
+		return
+	}
+	r.logger.WithFields(logrus.Fields{
+		"event": "store_snapshot", "items": items, "revision": revision, "known": known, "kept": r.mirror.Revision(), "history_gone": compacted, "snapshots": r.snapshots,
+	}).Info("this daemon has read everything from the store")
+	r.snapshots, r.snapshotLoggedAt = 0, now
+}
+
 // pauseAfterFailure waits after a failed call, longer after each of a series. The wait ends early when this daemon no longer has to
 // read the store, when it takes or loses a seat, and when another daemon has shown that the store has changes.
 func (r *Reader) pauseAfterFailure(ctx context.Context, now time.Time) {
