Order revisions of the store by its era first

Class: an order of numbers whose scope had changed.

The client of the store now joins each revision with the era of its answer (mangorevision), the era in the higher bits, so that all parts compare whole positions and no message changes. A lease of an earlier era is renewed only if the key is still this daemon's in the copy, as its id may be another's. A return starts the grace period for missing entries also if no call has failed.

--- a/internal/mangodeputy/deputy.go
+++ b/internal/mangodeputy/deputy.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/internal/mangostate"
 )
 
@@ -151,7 +152,7 @@
 
 // logChange logs that this daemon became the deputy or ceased to be it.
 func (d *Deputy) logChange(wasActing bool, reason string) {
-	entry := d.logger.WithFields(logrus.Fields{"fence": d.election.fence, "reason": reason})
+	entry := d.logger.WithFields(logrus.Fields{"fence": mangorevision.Text(d.election.fence), "reason": reason})
 	switch {
 	case !wasActing && d.election.acting:
 		entry.WithField("event", "deputy_began").Warn("no daemon reaches the store: this daemon now places layers without the lease")
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -22,6 +22,7 @@
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangorelay"
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/internal/mangoshutdown"
 	"mangopath.org/mangopath/internal/mangoslowness"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -266,7 +267,7 @@
 // leaseObserver returns an observer that logs when the lease of a duty is won or lost.
 func leaseObserver(logger *logrus.Logger, duty string) mangolease.Observer {
 	return func(holds bool, fence uint64, err error) {
-		entry := logger.WithFields(logrus.Fields{"duty": duty, "fence": fence})
+		entry := logger.WithFields(logrus.Fields{"duty": duty, "fence": mangorevision.Text(fence)})
 		if holds {
 			entry.WithField("event", "lease_won").Info("this daemon holds the lease")
 			return
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/internal/mangostate"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -229,7 +230,7 @@
 		updates++
 		f.recordUpdate(hub, u)
 		if updates == 1 {
-			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": u.GetRevision(), "store_lost": u.GetStoreLost(), "store_back_ms": u.GetStoreBackMs()}).
+			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": mangorevision.Text(u.GetRevision()), "store_lost": u.GetStoreLost(), "store_back_ms": u.GetStoreBackMs()}).
 				Info("this daemon follows a hub")
 		}
 		if begun = f.apply(hub, begun, u); tooLarge(begun) {
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/internal/mangostate"
 )
 
@@ -154,7 +155,7 @@
 		return
 	}
 	r.logger.WithFields(logrus.Fields{
-		"event": "store_snapshot", "items": items, "revision": revision, "known": known, "kept": r.mirror.Revision(), "history_gone": compacted, "snapshots": r.snapshots,
+		"event": "store_snapshot", "items": items, "revision": mangorevision.Text(revision), "known": mangorevision.Text(known), "kept": mangorevision.Text(r.mirror.Revision()), "history_gone": compacted, "snapshots": r.snapshots,
 	}).Info("this daemon has read everything from the store")
 	r.snapshots, r.snapshotLoggedAt = 0, now
 }
@@ -203,7 +204,7 @@
 		r.onContact()
 		return
 	}
-	r.logger.WithFields(logrus.Fields{"event": "store_call_failed", "revision": r.mirror.Revision()}).WithError(err).
+	r.logger.WithFields(logrus.Fields{"event": "store_call_failed", "revision": mangorevision.Text(r.mirror.Revision())}).WithError(err).
 		Warn("the store could not be read")
 }
 
@@ -261,7 +262,7 @@
 			seat, seated := r.seats.Held()
 			link := r.upstream.Link()
 			r.logger.WithFields(logrus.Fields{
-				"event": "store_reader", "reads": duty, "seated": seated, "seat": seat, "hub": link.Hub, "revision": r.mirror.Revision(),
+				"event": "store_reader", "reads": duty, "seated": seated, "seat": seat, "hub": link.Hub, "revision": mangorevision.Text(r.mirror.Revision()),
 			}).Info("this daemon begins or ends to read the store itself")
 		}
 		if duty {
--- a/internal/mangohub/server.go
+++ b/internal/mangohub/server.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -152,7 +153,7 @@
 	s.mu.Lock()
 	s.followers[f] = struct{}{}
 	s.mu.Unlock()
-	s.logger.WithFields(logrus.Fields{"event": "follower_joined", "peer": f.name, "after": request.GetAfter()}).Info("a daemon follows this one")
+	s.logger.WithFields(logrus.Fields{"event": "follower_joined", "peer": f.name, "after": mangorevision.Text(request.GetAfter())}).Info("a daemon follows this one")
 	defer func() {
 		s.mu.Lock()
 		delete(s.followers, f)
--- a/internal/mangolayout/order.go
+++ b/internal/mangolayout/order.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangorevision"
 )
 
 const (
@@ -116,7 +117,7 @@
 	p.observe(string(o.reason), label)
 	entry := p.logger.WithFields(logrus.Fields{
 		"event": "order_given", "replica": o.Replica.ID, "address": o.Replica.Address, "data_centre": o.Replica.DataCentre,
-		"layers_from": o.Layers.From, "layers_to": o.Layers.To, "reason": o.reason, "fence": o.Fence, "expected": o.Expected,
+		"layers_from": o.Layers.From, "layers_to": o.Layers.To, "reason": o.reason, "fence": mangorevision.Text(o.Fence), "expected": o.Expected,
 		"outcome": label, "held_from": o.Replica.Layers.From, "held_to": o.Replica.Layers.To,
 	})
 	if err != nil {
--- a/internal/mangolease/leasedkey.go
+++ b/internal/mangolease/leasedkey.go
@@ -227,10 +227,16 @@
 
 // renew extends the lease; a lease that the store no longer knows is given up.
 func (k *LeasedKey) renew(ctx context.Context, lease uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	ctx, cancel := context.WithTimeout(ctx, 3*k.timeout)
 	defer cancel()
 	sentAt := sinceBoot()
 	err := k.store.Renew(ctx, lease)
+	if isKind(err, mangostore.KindRestored) {
+		if err = k.findRestored(ctx, lease); err == nil {
+			sentAt = sinceBoot()
+			err = k.store.Renew(ctx, lease)
+		}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err == nil {
@@ -245,6 +251,22 @@
 	return &Error{Op: "Renew", Kind: KindStore, Err: err}
 }
 
+// findRestored looks for the key after the store has returned from a copy. If the copy has it with the lease of this daemon, it is held
+// under a new fencing number.
+func (k *LeasedKey) findRestored(ctx context.Context, lease uint64) error {
+	item, err := k.store.Get(ctx, k.key)
+	if err != nil {
+		return err
+	}
+	if string(item.Value) != k.owner || item.LeaseID != lease {
+		return &mangostore.Error{Op: "Get", Kind: mangostore.KindLeaseLost, Err: errors.New("the store has returned from a copy without the lease")}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fence = item.Version
+	return nil
+}
+
 // acquire writes the key under a new lease, which fails if another daemon holds the key.
 func (k *LeasedKey) acquire(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 3*k.timeout)
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangorevision"
 )
 
 const (
@@ -187,7 +188,7 @@
 // requestWatchRestart makes readFeed cancel the watch, which did not deliver the awaited revision, and start another one.
 func (c *Controller) requestWatchRestart(awaited uint64) {
 	c.logger.WithFields(logrus.Fields{
-		"event": "watch_deaf", "revision": c.state.revision, "shown": awaited, "age_ms": time.Since(c.state.lastAnswer).Milliseconds(),
+		"event": "watch_deaf", "revision": mangorevision.Text(c.state.revision), "shown": mangorevision.Text(awaited), "age_ms": time.Since(c.state.lastAnswer).Milliseconds(),
 	}).Warn("the watch did not deliver changes that the store has; it is restarted")
 	select {
 	case c.restartWatch <- struct{}{}:
@@ -204,7 +205,7 @@
 			changed = c.state.setReachable(false, time.Time{}, now)
 		}
 		c.logger.WithFields(logrus.Fields{
-			"event": "store_read_failed", "revision": c.state.revision, "age_ms": now.Sub(c.state.lastAnswer).Milliseconds(),
+			"event": "store_read_failed", "revision": mangorevision.Text(c.state.revision), "age_ms": now.Sub(c.state.lastAnswer).Milliseconds(),
 		}).WithError(a.err).Warn("changes could not be read from the store")
 		if changed {
 			c.publish()
@@ -212,6 +213,7 @@
 		return
 	}
 	changed := c.state.setReachable(true, c.returnTime(), now)
+	c.state.recordRevision(a.revision, now)
 	changed = c.state.applyAnswer(a, now) || changed
 	c.state.revision, c.state.lastAnswer = a.revision, now
 	if changed || !c.state.synced {
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
+	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/internal/mangoroute"
 )
 
@@ -70,7 +71,7 @@
 	if ok {
 		s.returnedAt = returnedAt
 		entry := s.logger.WithFields(logrus.Fields{
-			"event": "store_back", "revision": s.revision, "age_ms": now.Sub(s.lastAnswer).Milliseconds(), "was_away": !returnedAt.IsZero(),
+			"event": "store_back", "revision": mangorevision.Text(s.revision), "age_ms": now.Sub(s.lastAnswer).Milliseconds(), "was_away": !returnedAt.IsZero(),
 		})
 		if !returnedAt.IsZero() {
 			entry = entry.WithField("returned_ms", now.Sub(returnedAt).Milliseconds())
@@ -79,11 +80,22 @@
 			Info("the store is reachable again")
 		return true
 	}
-	s.logger.WithFields(logrus.Fields{"event": "store_lost", "revision": s.revision, "age_ms": now.Sub(s.lastAnswer).Milliseconds()}).
+	s.logger.WithFields(logrus.Fields{"event": "store_lost", "revision": mangorevision.Text(s.revision), "age_ms": now.Sub(s.lastAnswer).Milliseconds()}).
 		Warn("the store is not reachable")
 	return true
 }
 
+// recordRevision notices from the revision of an answer that the store has returned from a copy, also if no call has failed.
+func (s *state) recordRevision(revision uint64, now time.Time) {
+	if !s.synced || mangorevision.Era(revision) <= mangorevision.Era(s.revision) {
+		return
+	}
+	s.returnedAt = now
+	s.logger.WithFields(logrus.Fields{
+		"event": "store_restored", "revision": mangorevision.Text(revision), "previous": mangorevision.Text(s.revision),
+	}).Warn("the store has returned from a copy of an earlier state")
+}
+
 // absenceInconclusive reports whether the absence of an entry does not show that its replica is gone: the store is
 // unreachable, or was back less than recoveryGrace ago. The time counts from the return of the store and not from that of the contact,
 // which also ends and begins with a change of hubs.
@@ -122,7 +134,7 @@
 		return
 	}
 	s.invalid[c.Key] = true
-	s.logger.WithFields(logrus.Fields{"event": "item_invalid", "key": c.Key, "revision": revision}).
+	s.logger.WithFields(logrus.Fields{"event": "item_invalid", "key": c.Key, "revision": mangorevision.Text(revision)}).
 		WithError(c.DecodeErr).Warn("an item of the store cannot be read")
 }
 
@@ -226,7 +238,7 @@
 func (s *state) logReplica(event string, r *mangoreplica.Replica) *logrus.Entry {
 	return s.logger.WithFields(logrus.Fields{
 		"event": event, "replica": r.ID, "service": r.Service, "address": r.Address, "data_centre": r.DataCentre,
-		"layers_from": r.Layers.From, "layers_to": r.Layers.To, "draining": r.Draining, "born": r.Born, "revision": s.revision,
+		"layers_from": r.Layers.From, "layers_to": r.Layers.To, "draining": r.Draining, "born": r.Born, "revision": mangorevision.Text(s.revision),
 	})
 }
 
@@ -270,7 +282,7 @@
 	}
 	s.logger.WithFields(logrus.Fields{
 		"event": "replica_sighted", "replica": r.ID, "layers_from": l.Layers.From, "layers_to": l.Layers.To,
-		"entry_from": r.Layers.From, "entry_to": r.Layers.To, "revision": s.revision,
+		"entry_from": r.Layers.From, "entry_to": r.Layers.To, "revision": mangorevision.Text(s.revision),
 	}).Info("a replica reports other layers than its entry")
 	return s.rebuildFleet(true)
 }
@@ -294,7 +306,7 @@
 	s.moving[r.ID] = now
 	s.logger.WithFields(logrus.Fields{
 		"event": "replica_narrowed", "replica": r.ID, "layers_from": kept.From, "layers_to": kept.To,
-		"held_from": held.From, "held_to": held.To, "ordered_from": o.Layers.From, "ordered_to": o.Layers.To, "revision": s.revision,
+		"held_from": held.From, "held_to": held.To, "ordered_from": o.Layers.From, "ordered_to": o.Layers.To, "revision": mangorevision.Text(s.revision),
 	}).Info("a replica gives up layers because of an order")
 	return s.rebuildFleet(true)
 }
@@ -352,7 +364,7 @@
 	} else {
 		s.keys[key] = value
 	}
-	s.logger.WithFields(logrus.Fields{"event": "key_changed", "key": key, "value": value, "revision": s.revision}).
+	s.logger.WithFields(logrus.Fields{"event": "key_changed", "key": key, "value": value, "revision": mangorevision.Text(s.revision)}).
 		Info("a key that daemons write changed")
 	return true
 }
--- a/internal/mangostore/error.go
+++ b/internal/mangostore/error.go
@@ -16,6 +16,9 @@
 	KindLimited
 	// KindLeaseLost means that the lease had ended.
 	KindLeaseLost
+	// KindRestored means that the service has returned from a copy since it gave out the lease or the version that the call names.
+	// The lease or the item may be gone, or still exist under another version.
+	KindRestored
 	// KindInvalid means that the request could not be built, or that the service refused it as malformed, too large or
 	// unauthorised.
 	KindInvalid
@@ -34,6 +37,8 @@
 		return "Limited"
 	case KindLeaseLost:
 		return "LeaseLost"
+	case KindRestored:
+		return "Restored"
 	case KindInvalid:
 		return "Invalid"
 	default:
