--- a/internal/mangoentry/caller_conns.go
+++ b/internal/mangoentry/caller_conns.go
@@ -91,7 +91,7 @@
 		if c.pending() == 0 || !time.Now().Before(end) {
 			return n
 		}
-		time.Sleep(drainPollInterval)
+		sleepUntil(end)
 	}
 }
 
--- a/internal/mangoentry/drain.go
+++ b/internal/mangoentry/drain.go
@@ -41,7 +41,7 @@
 		if plan.DrainComplete(time.Now(), d.shutdown.Active(), conns.pending()) {
 			return idle
 		}
-		time.Sleep(drainPollInterval)
+		sleepUntil(plan.AnswerBy)
 	}
 }
 
@@ -52,3 +52,10 @@
 		"took_ms": time.Since(plan.BeganAt).Milliseconds(),
 	}).Info("a part of the drain has ended")
 }
+
+// sleepUntil sleeps to the next check, or to a moment of the plan if that comes first.
+func sleepUntil(end time.Time) {
+	if left := time.Until(end); left > 0 {
+		time.Sleep(min(drainPollInterval, left))
+	}
+}
--- a/internal/mangoledger/ledger.go
+++ b/internal/mangoledger/ledger.go
@@ -115,7 +115,7 @@
 		return true, nil
 	}
 	switch storeKind(err) {
-	case mangostore.KindConflict:
+	case mangostore.KindConflict, mangostore.KindRestored:
 		return l.readBack(ctx, t, false)
 	case mangostore.KindLeaseLost:
 		l.lease.forget(t.leaseID)
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -259,7 +259,7 @@
 				return resultCallerGone
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			c.relay.health.RecordResult(t.first.Incarnation(), a.Status >= http.StatusInternalServerError, time.Now())
 			return resultDelivered
 		}
--- a/internal/mangoshutdown/plan.go
+++ b/internal/mangoshutdown/plan.go
@@ -67,7 +67,8 @@
 		return false
 	case Draining:
 		return active == 0 && pending == 0
-	default:
+	case Finishing, Closing:
 		return true
 	}
+	return true
 }
