Keep connections to replicas, and refuse status lines that are none

Change: a pool of idle connections with subsets of replicas, a bound on their rest, and rules on which requests may use one (docs/design/connections.md). A status line that is not one of HTTP is the replica's failure in all readers of a replica; what may have run is not said not to have run. Measured: TestInvalidStatus (platform, mangoupstream) failed before.

--- a/internal/mangoconn/endless_test.go
+++ b/internal/mangoconn/endless_test.go
@@ -123,12 +123,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		response, err := readHead(conn, request) //nolint:bodyclose // The connection is closed.
+		response, err := readHead(conn, request)
 		if err != nil {
 			return
 		}
-		if response.StatusCode < 200 {
-			t.Fatalf("status %d is not final", response.StatusCode)
+		if response.StatusCode < 200 || response.StatusCode > maxStatus {
+			t.Fatalf("status %d is not that of a final answer", response.StatusCode)
 		}
 		body, err := io.ReadAll(response.Body)
 		if err == nil && len(body) > len(answer) {
--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -1,6 +1,7 @@
 package mangoconn
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -11,7 +12,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -21,7 +21,7 @@
 	writeTimeout = 2 * time.Second
 )
 
-// Dialer opens a connection to an upstream for each request. It is safe for concurrent use.
+// Dialer opens a connection to an upstream for each request; Pool keeps connections in front of it. It is safe for concurrent use.
 type Dialer struct {
 	dialer net.Dialer
 }
@@ -37,7 +37,7 @@
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
 		err := raw.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+			optionErr = setUserTimeout(fd, limit)
 		})
 		if err != nil {
 			return err
@@ -52,11 +52,32 @@
 	conn *waitingConn
 	// stopAfterFunc keeps the end of the context from closing the connection.
 	stopAfterFunc func() bool
+	// reader is what the body reads from; it may have bytes that follow the answer.
+	reader *bufio.Reader
+	body   *countedBody
+	// sentWhole says that the whole request was written.
+	sentWhole bool
+	// ConnectTime is the time that it took to make the connection; 0 if it is a kept one.
+	ConnectTime time.Duration
+	// reusable says that the connection may be kept, and keep keeps it for a time; nil if no pool wants it.
+	reusable bool
+	keep     func(idle time.Duration)
+	closed   bool
 }
 
-// Close closes the connection, which tells an upstream that still works on the request that no one waits for its answer.
+// Close closes the connection, which tells an upstream that still works on the request that no one waits for its answer. After
+// AllowReuse a connection whose answer has been read to its end is kept instead. Further calls have no effect.
 func (r *Response) Close() {
-	r.stopAfterFunc()
+	if r.closed {
+		return
+	}
+	r.closed = true
+	// The connection is closed already, or about to be, if the context has ended.
+	if r.stopAfterFunc() && r.canBeKept() {
+		r.conn.waiter.detach()
+		r.keep(idleTime(r.Header) - time.Since(r.body.endedAt))
+		return
+	}
 	_ = r.conn.Close()
 }
 
@@ -66,24 +87,37 @@
 func (d *Dialer) Exchange(
 	ctx context.Context, address string, request *http.Request, connectTimeout time.Duration, waiter *ReadWaiter,
 ) (*Response, error) {
+	begun := time.Now()
 	conn, err := d.connect(ctx, address, connectTimeout)
 	if err != nil {
 		return nil, err
 	}
+	took := time.Since(begun)
+	response, err := exchangeOn(ctx, conn, request, waiter)
+	if err != nil {
+		return nil, err
+	}
+	response.ConnectTime = took
+	return response, nil
+}
+
+// exchangeOn is Exchange over an open connection, which belongs to the exchange from then on.
+func exchangeOn(ctx context.Context, conn net.Conn, request *http.Request, waiter *ReadWaiter) (*Response, error) {
 	waiter.Progress()
 	waiting := &waitingConn{Conn: conn, waiter: waiter}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := writeAndReadHead(waiting, request) //nolint:bodyclose // Close ends the connection, which is all that the body has.
+	response, err := writeAndReadHead(waiting, request)
 	if err != nil {
 		stop()
 		_ = conn.Close()
 		return nil, classifyError(ctx, err)
 	}
-	return &Response{Response: response, conn: waiting, stopAfterFunc: stop}, nil
+	response.stopAfterFunc = stop
+	return response, nil
 }
 
 // writeAndReadHead writes a request and reads the head of the final answer.
-func writeAndReadHead(conn *waitingConn, request *http.Request) (*http.Response, error) {
+func writeAndReadHead(conn *waitingConn, request *http.Request) (*Response, error) {
 	var out bytes.Buffer
 	if err := request.Write(&out); err != nil {
 		return nil, errors.WithMessage(err, "encode request")
@@ -97,16 +131,23 @@
 	if err != nil && writeErr != nil {
 		return nil, writeErr
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	response.sentWhole = writeErr == nil
+	return response, nil
 }
 
 // readHead reads the head of the final answer and records it as progress.
-func readHead(conn *waitingConn, request *http.Request) (*http.Response, error) {
-	response, err := ReadResponse(conn, request)
-	if err == nil {
-		conn.waiter.Progress()
+func readHead(conn *waitingConn, request *http.Request) (*Response, error) {
+	head, reader, err := readResponse(conn, request) //nolint:bodyclose // Close ends the connection, which is all that the body has.
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	conn.waiter.Progress()
+	body := newCountedBody(head.Body)
+	head.Body = body
+	return &Response{Response: head, conn: conn, reader: reader, body: body}, nil
 }
 
 // classifyError returns an *Error for a request that may have been sent, with the kind of failure that err shows.
--- a/internal/mangoconn/waiter.go
+++ b/internal/mangoconn/waiter.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// detach makes Wake leave the connection alone, which another exchange is about to use.
+func (w *ReadWaiter) detach() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn = nil
+}
+
 // setReadDeadline asks the policy and sets the deadline of the next read. It returns false if the policy gives up.
 func (w *ReadWaiter) setReadDeadline(conn net.Conn, silent time.Duration) (bool, error) {
 	w.mu.Lock()
--- a/internal/mangoupstream/client.go
+++ b/internal/mangoupstream/client.go
@@ -145,7 +145,7 @@
 	if errors.As(err, &known) {
 		return &Error{Op: op, Kind: known.Kind, Err: known.Err}
 	}
-	if errors.Is(err, mangoconn.ErrHeadTooLarge) {
+	if errors.Is(err, mangoconn.ErrHeadTooLarge) || errors.Is(err, mangoconn.ErrInvalidStatus) {
 		return &Error{Op: op, Kind: KindProtocol, Err: err}
 	}
 	if ctx.Err() != nil {
--- a/internal/mangoupstream/service.go
+++ b/internal/mangoupstream/service.go
@@ -9,6 +9,8 @@
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+
+	"mangopath.org/mangopath/internal/mangoconn"
 )
 
 var _ Service = (*ServiceClient)(nil)
@@ -100,6 +102,9 @@
 		return reply{}, classifyError(ctx, op, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := mangoconn.CheckStatus(response.StatusCode); err != nil {
+		return reply{}, &Error{Op: op, Kind: KindProtocol, Err: err}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
 	if err != nil {
 		return reply{}, classifyError(ctx, op, err)
