Write the last log lines in parts, and trace changed paths

Cause: two processes were still there at the end of the grace period, as the last flush of their logs waited for a reader that had stopped; and a search for a request's replicas missed those that a changed path brought in. Change: the last flush writes parts of 16 KiB and ends after 200 ms without one, or 250 ms in all. The trace reads path_changed. Measured: TestLastLinesAreReadSlowly and the new cases of the trace failed before.

--- a/internal/mangolog/writer.go
+++ b/internal/mangolog/writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +16,14 @@
 	defaultBufferLimit = 1 << 20
 	// flushInterval is the time for which lines are collected into one write.
 	flushInterval = 200 * time.Millisecond
-	// finalFlushTimeout bounds the wait for the last write at the end of the process.
-	finalFlushTimeout = 300 * time.Millisecond
+	// finalFlushTimeout bounds the wait for the last lines at the end of the process. A relay has 300 ms between the close of its
+	// connections and the end of the grace period. finalStallTimeout bounds the wait while nobody reads the lines.
+	finalFlushTimeout = 250 * time.Millisecond
+	finalStallTimeout = 200 * time.Millisecond
+	// finalFlushPoll is the interval at which the wait checks whether the last lines are being read.
+	finalFlushPoll = 10 * time.Millisecond
+	// writeSize is the size of a write in bytes. Each completed write shows that the log is being read.
+	writeSize = 16 << 10
 )
 
 // Writer buffers lines and writes them from one goroutine. Write is safe for concurrent use and never blocks on the
@@ -31,6 +38,8 @@
 	// unreportedDrops is the number of dropped lines that no line has reported yet.
 	unreportedDrops uint64
 	dropped         atomic.Uint64
+	// writes counts the writes to the destination.
+	writes atomic.Uint64
 }
 
 // Option sets a property of a Writer.
@@ -75,7 +84,8 @@
 // Dropped returns the number of lines dropped since the start.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Run writes lines until the context ends. It then waits until the buffer is written, but no longer than finalFlushTimeout.
+// Run writes lines until the context ends. It then waits until the buffer is written, but no longer than finalFlushTimeout, and
+// no longer than finalStallTimeout without a write.
 func (w *Writer) Run(ctx context.Context) error {
 	loopDone := make(chan struct{}, 1)
 	loopCtx, cancel := context.WithCancel(ctx)
@@ -85,13 +95,27 @@
 		w.writeLoop(loopCtx)
 	}()
 	<-ctx.Done()
-	select {
-	case <-loopDone:
-	case <-time.After(finalFlushTimeout):
-	}
+	w.awaitFlush(loopDone)
 	return ctx.Err()
 }
 
+// awaitFlush waits until the last lines are written or the limits of that have passed.
+func (w *Writer) awaitFlush(done <-chan struct{}) {
+	poll := time.NewTicker(finalFlushPoll)
+	defer poll.Stop()
+	writes, began := w.writes.Load(), time.Now()
+	for progress := began; time.Since(progress) < finalStallTimeout && time.Since(began) < finalFlushTimeout; {
+		select {
+		case <-done:
+			return
+		case <-poll.C:
+		}
+		if n := w.writes.Load(); n != writes {
+			writes, progress = n, time.Now()
+		}
+	}
+}
+
 // writeLoop writes the buffer flushInterval after its first line, until the context ends.
 func (w *Writer) writeLoop(ctx context.Context) {
 	for {
@@ -123,6 +147,9 @@
 		lines = fmt.Appendf(lines, "time=%q level=warning event=lines_dropped count=%d msg=\"log lines were dropped\"\n",
 			time.Now().UTC().Format("2006-01-02T15:04:05.000Z07:00"), unreported)
 	}
-	// There is nowhere to report an error of the log output.
-	_, _ = w.out.Write(lines)
+	for part := range slices.Chunk(lines, writeSize) {
+		// There is nowhere to report an error of the log output.
+		_, _ = w.out.Write(part)
+		w.writes.Add(1)
+	}
 }
--- a/internal/mangolog/writer_test.go
+++ b/internal/mangolog/writer_test.go
@@ -75,3 +75,25 @@
 		t.Fatal("Run did not return although its context ended")
 	}
 }
+
+// Guards against last lines that are lost although they are being read, only slowly.
+func TestLastLinesAreReadSlowly(t *testing.T) {
+	is := is.New(t)
+	var written int
+	out := writerFunc(func(p []byte) (int, error) {
+		time.Sleep(finalFlushTimeout / 6)
+		written += len(p)
+		return len(p), nil
+	})
+	w := New(out)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	lines := bytes.Repeat([]byte("event=last\n"), 4*writeSize/11)
+	_, _ = w.Write(lines)
+	is.True(w.Run(ctx) != nil)
+	is.Equal(written, len(lines))
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- a/internal/mangotrace/trace.go
+++ b/internal/mangotrace/trace.go
@@ -97,10 +97,13 @@
 }
 
 // failedReplicas returns the replicas that may have failed the request. For each send without a final answer, that is the
-// replica logged as its fault, or all replicas of its chain if there is none.
+// replica logged as its fault, or all replicas of its chain if there is none; for each change of the path, the replaced ones.
 func (t Trace) failedReplicas() map[string]bool {
 	replicas := map[string]bool{}
 	for _, l := range t.RequestLines {
+		if l.Event() == "path_changed" {
+			addIDs(replicas, l.Get("replaced"), ",")
+		}
 		if l.Event() != "request_sent" || l.Get("result") == "Delivered" {
 			continue
 		}
@@ -108,15 +111,20 @@
 			replicas[fault] = true
 			continue
 		}
-		for _, id := range strings.Split(l.Get("chain"), ">") {
-			if id != "" {
-				replicas[id] = true
-			}
-		}
+		addIDs(replicas, l.Get("chain"), ">")
 	}
 	return replicas
 }
 
+// addIDs adds the ids of a list, which has a separator between two of them, to a set.
+func addIDs(ids map[string]bool, list, separator string) {
+	for _, id := range strings.Split(list, separator) {
+		if id != "" {
+			ids[id] = true
+		}
+	}
+}
+
 // servingDaemons returns the names of the daemons that served the request.
 func (t Trace) servingDaemons() map[string]bool {
 	names := map[string]bool{}
@@ -142,7 +150,7 @@
 	sends := 0
 	for _, l := range t.RequestLines {
 		switch l.Event() {
-		case "request_sent":
+		case "request_sent", "connection_retried":
 			loggedSends[l.Get("send")] = true
 		case "request_done":
 			done = true
--- a/internal/mangotrace/trace_test.go
+++ b/internal/mangotrace/trace_test.go
@@ -70,6 +70,34 @@
 	is.Equal(e.Kind, KindUnknown)
 }
 
+// Guards against a trace that leaves out what the daemon knew of a replica that was replaced in the request's chain.
+func TestTraceShowsReplacedReplicas(t *testing.T) {
+	is := is.New(t)
+	log, err := Read("edge-1", strings.NewReader(`time="2026-12-06T10:00:00.000Z" event=replica_avoided replica=i-2 cause=Ended
+time="2026-12-06T10:00:00.010Z" event=path_changed request=r1 replica=i-1 replaced=i-2,i-3 outcome=Begun
+time="2026-12-06T10:00:01.000Z" event=request_sent request=r1 chain="i-1>i-2>i-3" result=Delivered send=1
+time="2026-12-06T10:00:01.000Z" event=request_done request=r1 outcome=Delivered sends=1
+`))
+	is.NoErr(err)
+	trace, err := Assemble([]Log{log}, "r1")
+	is.NoErr(err)
+	is.Equal(len(trace.ReplicaLines), 1)
+	is.Equal(trace.ReplicaLines[0].Get("replica"), "i-2")
+}
+
+// Guards against a trace that calls a send missing which was lost on a kept connection, and is told of by the line of its retry.
+func TestSendLostOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	log, err := Read("f", strings.NewReader(
+		"edge-1 time=\"2026-12-06T10:00:00.100Z\" event=connection_retried request=r send=1 replica=i reason=Broken\n"+
+			"edge-1 time=\"2026-12-06T10:00:00.200Z\" event=request_sent request=r send=2 replica=i result=Delivered\n"+
+			"edge-1 time=\"2026-12-06T10:00:00.200Z\" event=request_done request=r sends=2\n"))
+	is.NoErr(err)
+	trace, err := Assemble([]Log{log}, "r")
+	is.NoErr(err)
+	is.Equal(len(trace.Missing), 0)
+}
+
 // Guards against a panic or endless loop on malformed lines, and against events without a name or time.
 func FuzzRead(f *testing.F) {
 	f.Add("edge-1 time=\"2026-10-05T10:37:03.000Z\" event=x request=1 a=\"b c\"\n")
