--- a/cmd/mangopath/docs_test.go
+++ b/cmd/mangopath/docs_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/csv"
+	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -11,10 +13,11 @@
 )
 
 // Guards against commands in the documentation that the program rejects. They run against the real API handlers with entries
-// in memory; serve commands are skipped, because they do not return.
+// in memory, and a relay's address stands for a fake relay; serve commands are skipped, because they do not return.
 func TestDocumentedCommands(t *testing.T) {
 	book := &memoryBook{}
 	flags := startOperatorAPI(t, book)
+	relayAddress, _ := startFakeRelay(t, http.StatusOK, fixedExplanation())
 	t.Chdir("../..")
 	for _, page := range []string{
 		"README.md", "docs/OPERATIONS.md", "examples/baasje-gezocht/README.md", "examples/isartal/README.md",
@@ -32,6 +35,9 @@
 			words.Comma = ' '
 			args, err := words.Read()
 			is.NoErr(err)
+			if i := slices.Index(args, "--relay"); i >= 0 {
+				args[i+1] = relayAddress
+			}
 			if status, _, errOut := runCommand(t, flags, args...); status != 0 {
 				t.Errorf("%s: %s: status %d: %s", page, c[1], status, errOut)
 			}
--- a/cmd/mangopath/explain.go
+++ b/cmd/mangopath/explain.go
@@ -13,21 +13,26 @@
 
 func explainCommand() *cli.Command {
 	return &cli.Command{
-		Name: "explain", Usage: "print where a request would be routed and why, or what happened to a past request", ArgsUsage: "NAME | ID",
+		Name: "explain", Usage: "print where a request would be routed and why, or what happened to a past request", ArgsUsage: "NAME | ID | --relay IP:PORT",
 		Description: `With --log the argument is the id of a past request. What happened to it is read from the log files; no daemon is needed.
+With --relay there is no argument: a running relay says where a request with the given properties would go now. Nothing is sent.
 
 Example: mangopath explain tekst-model --prompt "Beschrijf deze kat"
-Example: mangopath explain --log edge-1.log --log edge-2.log 9c41d07be2a35f68`,
-		Flags: []cli.Flag{
+Example: mangopath explain --log edge-1.log --log edge-2.log 9c41d07be2a35f68
+Example: mangopath explain --relay 127.0.0.1:9100 --host api.example.org --path /v1/chat --customer anna --prompt-tokens 800`,
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "prompt", Usage: "`TEXT` of the request's prompt; it is sent to the entry host, which does not use it"},
 			&cli.StringSliceFlag{Name: "log", Usage: "log `FILE` of a daemon; may be repeated"},
-		},
+		}, relayExplainFlags()...),
 		Action: explain,
 	}
 }
 
 // explain prints where a request would be routed and the cost, or with --log the recorded events of a past request.
 func explain(ctx context.Context, c *cli.Command) error {
+	if c.IsSet("relay") {
+		return explainAtRelay(ctx, c)
+	}
 	args, err := positionalArgs(c, 1, 1)
 	if err != nil {
 		return err
--- a/cmd/mangopath/session.go
+++ b/cmd/mangopath/session.go
@@ -48,17 +48,21 @@
 
 // readToken reads the operators' bearer token from a file that holds nothing else.
 func readToken(path string) (string, error) {
-	const allowed = "the path of a file with the operators' token"
+	return readSecret("--token-file", path, "the path of a file with the operators' token")
+}
+
+// readSecret reads a secret from a file, named by a flag, that holds nothing else. allowed says what the flag takes.
+func readSecret(flag, path, allowed string) (string, error) {
 	if path == "" {
-		return "", invalidValue("--token-file", path, allowed)
+		return "", invalidValue(flag, path, allowed)
 	}
 	data, err := readFileUpTo(path, maxTokenFileBytes)
 	if err != nil {
-		return "", &Error{Op: "--token-file", Kind: KindUsage, Err: err}
+		return "", &Error{Op: flag, Kind: KindUsage, Err: err}
 	}
 	token := strings.TrimSpace(string(data))
 	if token == "" || strings.ContainsAny(token, "\r\n") {
-		return "", invalidValue("--token-file", path, allowed+" on one line")
+		return "", invalidValue(flag, path, allowed+" on one line")
 	}
 	return token, nil
 }
--- a/internal/mangobroadcast/broadcaster.go
+++ b/internal/mangobroadcast/broadcaster.go
@@ -89,9 +89,12 @@
 	onLimit    func(l mangolimit.Limit, from string)
 	topology   Topology
 	followers  Publisher
+	checks     checkHandlers
 
-	mu     sync.Mutex
-	queued batch
+	mu sync.Mutex
+	// directQueues holds what is to be sent to single daemons only, by their names.
+	directQueues map[string]*directQueue
+	queued       batch
 	// queuedForFollowers is what other hubs sent for the followers of this one.
 	queuedForFollowers batch
 	// peerQueues holds what is to be sent to each peer, by its name.
@@ -113,45 +116,6 @@
 // WithLogger sets the logger.
 func WithLogger(l logrus.FieldLogger) Option { return func(br *Broadcaster) { br.logger = l } }
 
-// OnStateUpdate sets the functions that receive the revisions of the store and the layers of replicas that other daemons
-// announce. It must be called before Run, and the functions must not block.
-func (br *Broadcaster) OnStateUpdate(onRevision func(revision uint64), onLayers func(r mangoreplica.LayerReport)) {
-	br.onRevision, br.onLayers = onRevision, onLayers
-}
-
-// OnOutage sets the function that checks a replica after another daemon announced its outage. It must be called before Run,
-// and the function must not block.
-func (br *Broadcaster) OnOutage(onOutage func(r *mangoreplica.Replica)) { br.onOutage = onOutage }
-
-// OnClaim sets the function that receives the claims of other daemons. It must be called before Run, and the function must
-// not block.
-func (br *Broadcaster) OnClaim(onClaim func(from string, c Claim)) { br.onClaim = onClaim }
-
-// OnOrder sets the function that receives the orders that other daemons gave to replicas. It must be called before Run, and
-// the function must not block.
-func (br *Broadcaster) OnOrder(onOrder func(o mangolayout.GivenOrder)) { br.onOrder = onOrder }
-
-// OnPace sets the function that receives the paces of replicas that other daemons asked. It must be called before Run, and
-// the function must not block.
-func (br *Broadcaster) OnPace(onPace func(p mangoreplica.Pace, from string)) { br.onPace = onPace }
-
-// OnLoads sets the function that receives the loads that followers and other hubs put on replicas. It must be called before
-// Run, and the function must not block.
-func (br *Broadcaster) OnLoads(onLoads func(from string, l LoadReport)) { br.onLoads = onLoads }
-
-// OnSuspects sets the function that is called after the crash tracker has got suspicions of other daemons. It must be called
-// before Run, and the function must not block.
-func (br *Broadcaster) OnSuspects(onSuspects func()) { br.onSuspects = onSuspects }
-
-// OnRateLimit sets the function that receives the limits that replicas named to other daemons. It must be called before Run, and
-// the function must not block.
-func (br *Broadcaster) OnRateLimit(onLimit func(l mangolimit.Limit, from string)) {
-	br.onLimit = onLimit
-}
-
-// OnPublish sets what sends announcements to the followers of this daemon. It must be called before Run.
-func (br *Broadcaster) OnPublish(p Publisher) { br.followers = p }
-
 // New returns a Broadcaster for the daemon self.
 func New(
 	self mangostate.Member, client Exchanger, state State, topology Topology, health *mangoreplica.HealthTracker, crashes *mangocrash.CrashTracker,
@@ -162,7 +126,7 @@
 		followers: noFollowers{}, onLoads: func(string, LoadReport) {}, onSuspects: func() {}, onLimit: func(mangolimit.Limit, string) {},
 		wake: make(chan struct{}, 1), peerQueues: map[string]*peerQueue{}, recentSenders: map[string]recentSender{}, onRevision: func(uint64) {},
 		onLayers: func(mangoreplica.LayerReport) {}, onOutage: func(*mangoreplica.Replica) {}, onClaim: func(string, Claim) {}, onOrder: func(mangolayout.GivenOrder) {},
-		onPace: func(mangoreplica.Pace, string) {},
+		onPace: func(mangoreplica.Pace, string) {}, checks: newCheckHandlers(), directQueues: map[string]*directQueue{},
 	}
 	for _, o := range opts {
 		o(br)
@@ -250,6 +214,7 @@
 		}
 		timer.Stop()
 		br.distribute(ctx)
+		br.distributeDirect(ctx)
 	}
 }
 
@@ -301,12 +266,13 @@
 	}
 	if request.GetGroupSize() > 0 {
 		br.onLoads(request.GetFrom().GetName(), LoadReport{
-			Loads: request.GetReplicaLoads(), Daemons: int(request.GetGroupSize()), Group: request.GetRelayed(),
+			Loads: request.GetReplicaLoads(), Demand: request.GetDemand(), Daemons: int(request.GetGroupSize()), Group: request.GetRelayed(),
 		})
 	}
 	if c := request.GetClaim(); c != nil {
 		br.onClaim(request.GetFrom().GetName(), Claim{Fence: c.GetFence(), Holder: c.GetHolder()})
 	}
+	br.receiveChecks(request, now)
 	isHub := br.topology.IsHub()
 	announcements := br.receive(request, isHub, now)
 	switch {
--- a/internal/mangobroadcast/doc.go
+++ b/internal/mangobroadcast/doc.go
@@ -10,6 +10,9 @@
 //
 // Each peer has a queue and a goroutine of its own, so that a peer that does not answer delays no other one.
 //
+// Requests for checks of replicas, their results and findings for those who asked go to single daemons by the methods
+// SendCheckRequests, SendCheckResult and SendOutage; nobody sends them on.
+//
 // A Broadcaster is also the handler of the server for peers, which receives their broadcasts and passes them to the
 // functions set with the On methods. What it receives is not forwarded, except for a share of the suspicions about requests.
 package mangobroadcast
--- a/internal/mangobroadcast/queue.go
+++ b/internal/mangobroadcast/queue.go
@@ -19,6 +19,8 @@
 // LoadReport is the load that daemons put on replicas.
 type LoadReport struct {
 	Loads []*mangomessage.ReplicaLoad
+	// Demand is what these daemons observe of demand.
+	Demand *mangomessage.DemandReport
 	// Daemons is the number of daemons, at least 1, and Group says that they are a hub and its followers.
 	Daemons int
 	Group   bool
@@ -84,6 +86,7 @@
 	for _, o := range b.outages {
 		m.Outages = append(m.Outages, &mangomessage.Outage{
 			Replica: o.Replica.ID, Cause: string(o.Cause), AgeMs: milliseconds(now.Sub(o.At)), HoldMs: milliseconds(o.Until.Sub(o.At)), Born: o.Replica.Born,
+			Checked: o.Checked,
 		})
 	}
 	for _, r := range b.layerReports {
@@ -111,7 +114,7 @@
 		m.Claim = &mangomessage.Claim{Fence: b.claim.Fence, Holder: b.claim.Holder}
 	}
 	if b.loads != nil {
-		m.ReplicaLoads, m.GroupSize = b.loads.Loads, uint32(b.loads.Daemons)
+		m.ReplicaLoads, m.GroupSize, m.Demand = b.loads.Loads, uint32(b.loads.Daemons), b.loads.Demand
 	}
 	return m
 }
--- a/internal/mangobroadcast/receive.go
+++ b/internal/mangobroadcast/receive.go
@@ -20,7 +20,8 @@
 }
 
 // receive applies the announcements of another daemon and returns those that a hub sends on. A hub sends on an outage only
-// when it has checked the replica itself, so that a daemon that is cut off does not make others avoid sound replicas.
+// when it or a hub that monitors the replica has checked it, so that a daemon that is cut off does not make others avoid sound
+// replicas.
 func (br *Broadcaster) receive(request *mangomessage.ExchangeRequest, isHub bool, now time.Time) batch {
 	var announcements batch
 	for _, r := range request.GetSightings() {
@@ -72,7 +73,7 @@
 	for _, o := range request.GetOutages() {
 		if r := fleet.ByID(o.GetReplica()); r != nil && br.receiveOutage(r, o, request.GetFrom().GetName(), isHub, now) {
 			announcements.outages = append(announcements.outages, mangoreplica.Outage{
-				Replica: r.Incarnation(), Cause: mangoreplica.Cause(o.GetCause()), At: now, Until: now.Add(time.Duration(o.GetHoldMs()) * time.Millisecond),
+				Replica: r.Incarnation(), Cause: mangoreplica.Cause(o.GetCause()), At: now, Until: now.Add(time.Duration(o.GetHoldMs()) * time.Millisecond), Checked: o.GetChecked(),
 			})
 		}
 	}
@@ -92,7 +93,7 @@
 		return br.markLeaving(r, o.GetBorn(), peer, now)
 	case cause == mangoreplica.CauseReachable:
 		return br.health.MarkReachable(r.Incarnation(), now)
-	case isHub && cause.LikelyDown():
+	case isHub && cause.LikelyDown() && !br.checkedByMonitor(r, o, peer):
 		if !br.health.Avoided(r.Incarnation(), now) {
 			br.onOutage(r)
 		}
@@ -104,13 +105,17 @@
 			"event": "replica_avoided", "replica": r.ID, "address": r.Address, "cause": o.GetCause(),
 			"peer": peer, "age_ms": o.GetAgeMs(), "hold_ms": min(left, maxPeerHold).Milliseconds(),
 		}).Warn("another daemon found a replica lost")
-		br.onOutage(r)
+		if br.checkedByMonitor(r, o, peer) {
+			br.checks.onCheckedOutage(r)
+		} else {
+			br.onOutage(r)
+		}
 	}
 	return isNew
 }
 
 // markLeaving records that a replica told another daemon that it is leaving, if it is the same start of the replica, and
-// reports whether that is announcements.
+// reports whether that is new.
 func (br *Broadcaster) markLeaving(r *mangoreplica.Replica, born int64, peer string, now time.Time) bool {
 	if r.Born != born || !br.health.MarkLeaving(r.Incarnation(), now) {
 		return false
--- a/internal/mangobudget/budget.go
+++ b/internal/mangobudget/budget.go
@@ -84,28 +84,46 @@
 func (b *Budget) Take(service string, daemons int, reserved float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.maxDaemons = max(b.maxDaemons, daemons)
 	c := b.countsOf(service)
-	if float64(c.retries.count(now.Sub(b.start), b.limit.Window))+1 > b.allowance(c, now)*(1-reserved) {
+	if !b.allows(c, daemons, reserved, now) {
 		return false
 	}
 	c.retries.add(now.Sub(b.start), b.limit.Window)
 	return true
 }
 
+// Available reports whether Take would succeed, and spends nothing.
+func (b *Budget) Available(service string, daemons int, reserved float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.countsOf(service), daemons, reserved, now)
+}
+
+// allows reports whether one more retry leaves the reserved share. The caller holds b.mu.
+func (b *Budget) allows(c *serviceCounts, daemons int, reserved float64, now time.Time) bool {
+	b.maxDaemons = max(b.maxDaemons, daemons)
+	return float64(c.retries.count(now.Sub(b.start), b.limit.Window))+1 <= b.allowance(c, b.maxDaemons, now)*(1-reserved)
+}
+
 // Remaining returns the number of retries to a service that may be sent now.
 func (b *Budget) Remaining(service string, now time.Time) float64 {
+	return b.RemainingAmong(service, 0, now)
+}
+
+// RemainingAmong returns what Remaining would return if this number of daemons shared the budget. It does not record the number.
+func (b *Budget) RemainingAmong(service string, daemons int, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.countsOf(service)
-	return max(0, b.allowance(c, now)-float64(c.retries.count(now.Sub(b.start), b.limit.Window)))
+	return max(0, b.allowance(c, max(b.maxDaemons, daemons), now)-float64(c.retries.count(now.Sub(b.start), b.limit.Window)))
 }
 
-// allowance returns the number of retries that this daemon may send in the present window.
-func (b *Budget) allowance(c *serviceCounts, now time.Time) float64 {
+// allowance returns the number of retries that this daemon may send in the present window. daemons is the highest number of daemons
+// that were seen.
+func (b *Budget) allowance(c *serviceCounts, daemons int, now time.Time) float64 {
 	requests := float64(c.requests.count(now.Sub(b.start), b.limit.Window))
-	slack := b.limit.Slack / float64(max(b.maxDaemons, 1))
-	if b.maxDaemons == 0 {
+	slack := b.limit.Slack / float64(max(daemons, 1))
+	if daemons == 0 {
 		slack = 0
 	}
 	if b.restarted && now.Sub(b.start) < b.limit.Window {
--- a/internal/mangodaemon/operator.go
+++ b/internal/mangodaemon/operator.go
@@ -46,11 +46,12 @@
 		p.controller.PollNow(ctx)
 		revision, err = p.log.Propose(ctx, changes...)
 	}
-	if err != nil {
-		return 0, operatorError("propose", err)
+	var logError *mangochange.Error
+	if err == nil || (errors.As(err, &logError) && logError.Kind == mangochange.KindConflict) {
+		// After a conflict this daemon answers with the newer entry, so that the operator does not base the next change on the old one.
+		p.controller.PollNow(ctx)
 	}
-	p.controller.PollNow(ctx)
-	return revision, nil
+	return revision, operatorError("propose", err)
 }
 
 // operatorError converts an error of the change log to one of the operators' API.
--- a/internal/mangodispatch/crash.go
+++ b/internal/mangodispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,22 @@
 	return true
 }
 
+// recheckSilent checks the silent replicas of a request that has crashed one. A replica that is slow to end breaks its connection only
+// after the timeout of the send, so its crash has not been counted, and the request would crash a third one.
+func (d *Dispatcher) recheckSilent(ctx context.Context, call Call, h *sendHistory) {
+	if d.prober == nil || h.crashes == 0 {
+		return
+	}
+	h.silent = slices.DeleteFunc(h.silent, func(r PickedReplica) bool {
+		if h.crashes >= maxCrashes || !d.prober.RefusesConnections(ctx, r.Address) {
+			return false
+		}
+		d.crashObserver.Crashed(r.Host, call.Fingerprint)
+		h.crashes++
+		return true
+	})
+}
+
 // rejectAfterCrashes returns the error of a call that crashed maxCrashes replicas. It first waits for the peers to learn of
 // the crashes, since the caller may send the request to one of them at once.
 func (d *Dispatcher) rejectAfterCrashes(ctx context.Context, lastErr error) error {
--- a/internal/mangodispatch/idempotent.go
+++ b/internal/mangodispatch/idempotent.go
@@ -9,6 +9,7 @@
 
 	"mangopath.org/mangopath/internal/mangocall"
 	"mangopath.org/mangopath/internal/mangoupstream"
+	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
 // retryAfter is the time after which callers are told to retry after a short failure, such as a restart.
@@ -22,6 +23,8 @@
 	mayHaveRun bool
 	// crashes is the number of replicas that the request crashed. It starts at 1 for a suspect request.
 	crashes int
+	// silent has the replicas that were sent the request and neither answered nor were found to have crashed.
+	silent []PickedReplica
 	// lastErr is the error of the last send, nil before the first one has failed.
 	lastErr error
 }
@@ -47,16 +50,20 @@
 			return mangoupstream.Answer{}, h.finalError(mangocall.KindUpstream, h.lastErr)
 		}
 		h.excluded[picked.Host] = true
-		answer, err := d.sendWithTimeout(ctx, picked, call)
+		answer, err := d.sendWithTimeout(ctx, picked, call, h)
 		if err == nil {
 			d.budget.recordSuccess(call.Profile.GetName())
 			return answer, nil
 		}
 		h.lastErr = err
 		h.mayHaveRun = h.mayHaveRun || !provesNotRun(err)
-		if d.reportIfCrashed(ctx, picked, call, err) {
+		switch {
+		case d.reportIfCrashed(ctx, picked, call, err):
 			h.crashes++
+		case !provesNotRun(err):
+			h.silent = append(h.silent, picked)
 		}
+		d.recheckSilent(ctx, call, h)
 		if h.crashes >= maxCrashes {
 			return mangoupstream.Answer{}, d.rejectAfterCrashes(ctx, err)
 		}
@@ -64,22 +71,35 @@
 }
 
 // sendWithTimeout sends the call once, with a timeout derived from the usual answer time of the profile, so that there is
-// time left for another replica if this one hangs.
-func (d *Dispatcher) sendWithTimeout(ctx context.Context, picked PickedReplica, call Call) (mangoupstream.Answer, error) {
+// time left for another replica if this one hangs. If no other replica is left, only the deadline ends the send.
+func (d *Dispatcher) sendWithTimeout(ctx context.Context, picked PickedReplica, call Call, h *sendHistory) (mangoupstream.Answer, error) {
 	profile, start := call.Profile.GetName(), time.Now()
 	timeout := d.answerTimes.sendTimeout(profile, call.Deadline.Sub(start))
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	if d.hasAnother(call.Profile, h.excluded) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
 	answer, err := d.send(ctx, picked, call.Request)
 	switch {
 	case err == nil:
-		d.answerTimes.recordAnswer(profile, time.Since(start))
+		// A longer time would make the timeouts of sends that have another replica too long.
+		d.answerTimes.recordAnswer(profile, min(time.Since(start), timeout))
 	case ctx.Err() != nil:
 		d.answerTimes.recordTimeout(profile, timeout)
 	}
 	return answer, err
 }
 
+// hasAnother reports whether there is a replica that is not on a host in exclude.
+func (d *Dispatcher) hasAnother(profile *mangomessage.Profile, exclude map[string]bool) bool {
+	picked, ok := d.picker.Pick(profile, exclude)
+	if ok {
+		picked.Release()
+	}
+	return ok
+}
+
 // noReplicaError returns the error of a call for which no replica is left.
 func (h *sendHistory) noReplicaError() error {
 	if h.lastErr == nil {
--- a/internal/mangoentry/caller_conn.go
+++ b/internal/mangoentry/caller_conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked, err := newCallerConn(conn)
+	tracked, err := newCallerConn(conn, &l.conns.lingerer)
 	if err != nil {
 		return nil, err
 	}
@@ -40,13 +41,15 @@
 // connection exclude each other, so that no request is read from a connection that is being closed as unused.
 type callerConn struct {
 	net.Conn
-	raw syscall.RawConn
+	raw      syscall.RawConn
+	lingerer *lingerer
 
 	mu sync.Mutex
 	// begun says that bytes were read which belong to no request that the handler has.
 	begun bool
-	// closed says that the connection was closed.
-	closed bool
+	// closed says that the connection was closed, and lingers that its lingerer has the rest to do.
+	closed  bool
+	lingers bool
 }
 
 // callerConnKey is the key of the callerConn in the context of a request.
@@ -59,7 +62,7 @@
 }
 
 // newCallerConn returns a callerConn for a TCP connection, which it closes on an error.
-func newCallerConn(conn net.Conn) (*callerConn, error) {
+func newCallerConn(conn net.Conn, l *lingerer) (*callerConn, error) {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
 		_ = conn.Close()
@@ -70,7 +73,7 @@
 		_ = conn.Close()
 		return nil, &Error{Op: "Accept", Kind: KindComponent, Err: err}
 	}
-	return &callerConn{Conn: conn, raw: raw}, nil
+	return &callerConn{Conn: conn, raw: raw, lingerer: l}, nil
 }
 
 // Read implements net.Conn. Errors are those of a net.TCPConn.
@@ -150,15 +153,28 @@
 	return c.begun || c.hasUnreadBytes()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It does not wait until the caller has the end of an answer.
 func (c *callerConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
+	if c.beginLinger() {
+		// A read or write that waits ends.
+		_ = c.SetDeadline(time.Now())
+		return c.CloseWrite()
+	}
 	// It waits for a read that may be waiting for c.mu, so it is called without it.
 	return c.Conn.Close()
 }
 
+// beginLinger marks the connection as closed, and reports whether its lingerer closes it.
+func (c *callerConn) beginLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if !c.lingers {
+		c.lingers = c.hasUnacknowledged() && c.lingerer.begin(c)
+	}
+	return c.lingers
+}
+
 // closeIfQuiet closes the connection unless a request has begun to arrive, and reports whether it did. The connection would be
 // reset then, and its caller would get no answer.
 func (c *callerConn) closeIfQuiet() bool {
--- a/internal/mangoentry/caller_conns.go
+++ b/internal/mangoentry/caller_conns.go
@@ -16,6 +16,7 @@
 	// acceptEnded is closed when the listener has returned its last connection.
 	acceptEnded chan struct{}
 	endAccept   func()
+	lingerer    lingerer
 }
 
 func newCallerConns() *callerConns {
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -13,6 +13,8 @@
 
 	"mangopath.org/mangopath/internal/mangobroadcast"
 	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangocheck"
+	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodeputy"
 	"mangopath.org/mangopath/internal/mangohub"
@@ -49,6 +51,7 @@
 	broadcaster  *mangobroadcast.Broadcaster
 	poller       *mangostate.Poller
 	monitor      *mangoliveness.Monitor
+	checker      *mangocheck.Checker
 	slowDetector *mangoslowness.Detector
 	peers        *mangopeer.Client
 	placement    placementLease
@@ -61,18 +64,20 @@
 	registry     *prometheus.Registry
 	shutdown     *mangoshutdown.Shutdown
 	memory       *mangomemory.Pool
+	conns        *mangoconn.Pool
 }
 
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, logWriter *mangolog.Writer, self mangostate.Member,
 	controller *mangostate.Controller, health *mangoreplica.HealthTracker, budget *mangobudget.Budget, crashes *mangocrash.CrashTracker,
-	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, seats *mangohub.Seats, hub *hubComponents,
+	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, checker *mangocheck.Checker, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, seats *mangohub.Seats, hub *hubComponents,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.RelayMetrics, registry *prometheus.Registry, shutdown *mangoshutdown.Shutdown, memory *mangomemory.Pool,
+	conns *mangoconn.Pool,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, logWriter: logWriter, self: self, controller: controller, health: health, budget: budget,
-		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
-		ingress: ingress, metrics: metrics, registry: registry, shutdown: shutdown, memory: memory,
+		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, checker: checker, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
+		ingress: ingress, metrics: metrics, registry: registry, shutdown: shutdown, memory: memory, conns: conns,
 	}
 }
 
@@ -113,7 +118,7 @@
 	callers, readiness, metrics := newServer(d.logger), newServer(d.logger), newServer(d.logger)
 	conns := newCallerConns()
 	conns.trackServer(callers)
-	readiness.Handler, metrics.Handler = readinessHandler(d.isReady), metricsHandler(d.registry)
+	readiness.Handler, metrics.Handler = readinessHandler(d.isReady), metricsHandler(d.registry, newExplainService(d.relay, d.metrics.CountExplanation, d.logger))
 	ended := make(chan componentExit)
 	running := 0
 	run := func(name string, f func() error) {
@@ -124,6 +129,7 @@
 	run("news", func() error { return d.broadcaster.Run(componentCtx) })
 	run("checks", func() error { return d.relay.Run(componentCtx) })
 	run("monitor", func() error { return d.monitor.Run(componentCtx) })
+	run("checker", func() error { return d.checker.Run(componentCtx) })
 	run("pacer", func() error { return d.slowDetector.Run(componentCtx) })
 	run("poller", func() error { return d.poller.Run(dutyCtx) })
 	run("seats", func() error { return d.seats.Run(dutyCtx) })
@@ -150,6 +156,7 @@
 			d.shutdown.Begin(mangoshutdown.NewPlan(time.Now(), milliseconds(d.settings.GetBounds().GetGracePeriod())))
 			d.logger.WithFields(logrus.Fields{"event": "stopping", "active": d.shutdown.Active()}).Info("the daemon is stopping")
 			stopDuties()
+			d.conns.CloseIdle()
 			d.drain(conns, listeners.callers)
 			failed = ctx.Err()
 		case c := <-ended:
@@ -163,10 +170,12 @@
 		// Close closes all connections even if it returns an error.
 		_ = s.Close()
 	}
+	conns.lingerer.endBy(time.Now().Add(lingerAtEnd))
 	for range running {
 		<-ended
 	}
 	d.peers.Close()
+	d.conns.CloseIdle()
 	d.logger.WithFields(logrus.Fields{"event": "stopped", "active": d.shutdown.Active()}).Info("the daemon stopped")
 	if errors.Is(failed, context.Canceled) {
 		return nil
@@ -187,6 +196,7 @@
 	return mangometric.RelayGauges{
 		ActiveRequests:  func() float64 { return float64(d.shutdown.Active()) },
 		Replicas:        func() float64 { return float64(view().Fleet.Len()) },
+		UnknownRequests: func() float64 { return float64(d.health.UnknownRequests(time.Now())) },
 		AvoidedReplicas: func() float64 { return float64(len(d.health.Outages(time.Now()))) },
 		Members:         func() float64 { return float64(d.health.Daemons()) },
 		ConfigurationVersion: func() float64 {
--- a/internal/mangoentry/handlers.go
+++ b/internal/mangoentry/handlers.go
@@ -21,12 +21,12 @@
 	return restful.NewContainer().Add(service)
 }
 
-// metricsHandler serves the metrics of a registry in the Prometheus text format.
-func metricsHandler(registry *prometheus.Registry) http.Handler {
+// metricsHandler serves the metrics of a registry in the Prometheus text format, and the explanations of requests.
+func metricsHandler(registry *prometheus.Registry, explanations *restful.WebService) http.Handler {
 	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 	service := new(restful.WebService)
 	service.Route(service.GET("/metrics").To(func(request *restful.Request, response *restful.Response) {
 		handler.ServeHTTP(response.ResponseWriter, request.Request)
 	}))
-	return restful.NewContainer().Add(service)
+	return restful.NewContainer().Add(service).Add(explanations)
 }
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -9,6 +9,8 @@
 
 	"mangopath.org/mangopath/internal/mangobroadcast"
 	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangocapacity"
+	"mangopath.org/mangopath/internal/mangocheck"
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodeputy"
@@ -16,7 +18,6 @@
 	"mangopath.org/mangopath/internal/mangolayout"
 	"mangopath.org/mangopath/internal/mangolease"
 	"mangopath.org/mangopath/internal/mangolimit"
-	"mangopath.org/mangopath/internal/mangoliveness"
 	"mangopath.org/mangopath/internal/mangomemory"
 	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangopeer"
@@ -145,10 +146,10 @@
 }
 
 func provideEngines(
-	dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker, limiter *mangolimit.Limiter, broadcaster *mangobroadcast.Broadcaster,
+	conns *mangoconn.Pool, health *mangoreplica.HealthTracker, limiter *mangolimit.Limiter, broadcaster *mangobroadcast.Broadcaster,
 	logger *logrus.Logger,
 ) *platform.ReplicaClient {
-	return platform.NewReplicaClient(dialer, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, limiter, broadcaster, logger)))
+	return platform.NewReplicaClient(conns, platform.WithNoticeHandler(mangorelay.NewNoticeHandler(health, limiter, broadcaster, logger)))
 }
 
 func provideMemory(s *mangomessage.RelaySettings) *mangomemory.Pool {
@@ -178,15 +179,16 @@
 }
 
 func provideRelay(
-	s *mangomessage.RelaySettings, state *mangostate.Controller, dialer *mangoconn.Dialer, health *mangoreplica.HealthTracker,
-	budget *mangobudget.Budget, limiter *mangolimit.Limiter, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
+	s *mangomessage.RelaySettings, state *mangostate.Controller, conns *mangoconn.Pool, health *mangoreplica.HealthTracker,
+	budget *mangobudget.Budget, limiter *mangolimit.Limiter, demand *mangocapacity.Tracker, crashes *mangocrash.CrashTracker, engines *platform.ReplicaClient, broadcaster *mangobroadcast.Broadcaster,
 	metrics *mangometric.RelayMetrics, shutdown *mangoshutdown.Shutdown, memory *mangomemory.Pool, slowDetector *mangoslowness.Detector, follower *mangohub.Follower,
-	logger *logrus.Logger,
+	checker *mangocheck.Checker, logger *logrus.Logger,
 ) *mangorelay.Relay {
 	return mangorelay.New(
-		s.GetHost().GetDataCentre(), state, platform.Codec{}, dialer, health, budget, crashes,
-		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
-		mangorelay.WithLimiter(limiter), mangorelay.WithObserver(metrics), mangorelay.WithShutdown(shutdown), mangorelay.WithMemory(memory),
+		s.GetHost().GetDataCentre(), state, platform.Codec{}, conns, health, budget, crashes, mangorelay.WithKeptConnections(conns),
+		mangorelay.WithLogger(logger), mangorelay.WithProber(engines), mangorelay.WithPathChanger(engines), mangorelay.WithPeerNotifier(broadcaster), mangorelay.WithSlowReplicaFinder(hubDetector{slowDetector, follower}),
+		mangorelay.WithLimiter(limiter), mangorelay.WithDemand(demand), mangorelay.WithObserver(metrics), mangorelay.WithShutdown(shutdown), mangorelay.WithMemory(memory),
+		mangorelay.WithCheckRequester(checker), mangorelay.WithCheckObserver(metrics.CountOwnCheck), mangorelay.WithLinkWatcher(checker),
 	)
 }
 
@@ -203,23 +205,6 @@
 	}
 }
 
-// provideMonitor also makes the relay look again at its requests when other daemons suspect some, and check the replicas that the monitor or, on a hub, other daemons report as lost. Other
-// daemons rely on the check of their hub.
-func provideMonitor(
-	self mangostate.Member, state *mangostate.Controller, relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, follower *mangohub.Follower,
-	logger *logrus.Logger,
-) *mangoliveness.Monitor {
-	broadcaster.OnSuspects(relay.RecheckSuspects)
-	broadcaster.OnOutage(func(r *mangoreplica.Replica) {
-		if follower.IsHub() {
-			relay.CheckReplica(r)
-			return
-		}
-		relay.MarkLost(r)
-	})
-	return mangoliveness.New(self, state, state.Subscribe(), relay.CheckReplica, mangoliveness.WithLogger(logger))
-}
-
 // placementLease is the lease whose holder may order engines to hold layers.
 type placementLease struct{ *mangolease.LeasedKey }
 
--- a/internal/mangoentry/provide_hub.go
+++ b/internal/mangoentry/provide_hub.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangobroadcast"
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolimit"
@@ -47,16 +48,18 @@
 // provideReporter also connects the reporter to the loads that other daemons announce.
 func provideReporter(
 	self mangostate.Member, limiter *mangolimit.Limiter, health *mangoreplica.HealthTracker, state *mangostate.Controller, follower *mangohub.Follower, table *mangohub.LoadTable,
-	broadcaster *mangobroadcast.Broadcaster,
+	demand *mangocapacity.Tracker, demands *mangohub.DemandTable, broadcaster *mangobroadcast.Broadcaster,
 ) *mangohub.Reporter {
 	own := func(now time.Time) map[string]mangoreplica.Load {
 		limiter.Prune(state.View().Fleet)
 		return limiter.AddDemand(health.OwnLoads(), now)
 	}
-	r := mangohub.NewReporter(self.Name, self.DataCentre, own, health, state, follower, table, func(loads []*mangomessage.ReplicaLoad, daemons int) {
-		broadcaster.AnnounceLoads(mangobroadcast.LoadReport{Loads: loads, Daemons: daemons})
+	r := mangohub.NewReporter(self.Name, self.DataCentre, own, health, state, follower, table, demand, demands, func(loads []*mangomessage.ReplicaLoad, d *mangomessage.DemandReport, daemons int) {
+		broadcaster.AnnounceLoads(mangobroadcast.LoadReport{Loads: loads, Demand: d, Daemons: daemons})
+	})
+	broadcaster.OnLoads(func(from string, l mangobroadcast.LoadReport) {
+		r.HandleReport(from, l.Loads, l.Demand, l.Daemons, l.Group)
 	})
-	broadcaster.OnLoads(func(from string, l mangobroadcast.LoadReport) { r.HandleReport(from, l.Loads, l.Daemons, l.Group) })
 	return r
 }
 
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolog"
@@ -19,10 +20,10 @@
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
-	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay,
+	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
 
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -10,6 +10,7 @@
 	"github.com/google/wire"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolog"
@@ -31,9 +32,14 @@
 	budget := provideBudget(settings)
 	crashTracker := provideCrashTracker(settings, controller, logger)
 	dialer := mangoconn.New()
+	registry := provideRegistry()
+	connectionMetrics, err := mangometric.NewConnections(registry)
+	if err != nil {
+		return nil, err
+	}
+	pool := provideConns(member, dialer, controller, healthTracker, connectionMetrics)
 	client := providePeers(settings)
 	mangoentryBootID := provideBootID()
-	registry := provideRegistry()
 	relayMetrics, err := mangometric.NewRelay(registry)
 	if err != nil {
 		return nil, err
@@ -44,23 +50,26 @@
 	follower := provideFollower(member, client, controller, mirror, seats, logger)
 	broadcaster := provideBroadcaster(member, client, controller, follower, healthTracker, crashTracker, logger)
 	limiter := provideLimiter(healthTracker, broadcaster, logger)
-	replicaClient := provideEngines(dialer, healthTracker, limiter, broadcaster, logger)
+	tracker := mangocapacity.NewTracker()
+	replicaClient := provideEngines(pool, healthTracker, limiter, broadcaster, logger)
 	shutdown := mangoshutdown.New()
-	pool := provideMemory(settings)
+	mangomemoryPool := provideMemory(settings)
 	detector := provideSlowDetector(controller, replicaClient, healthTracker, broadcaster, logger)
-	relay := provideRelay(settings, controller, dialer, healthTracker, budget, limiter, crashTracker, replicaClient, broadcaster, relayMetrics, shutdown, pool, detector, follower, logger)
+	loadTable := mangohub.NewLoadTable()
+	demandTable := mangohub.NewDemandTable()
+	reporter := provideReporter(member, limiter, healthTracker, controller, follower, loadTable, tracker, demandTable, broadcaster)
+	server := provideHubServer(member, mirror, contact, reporter, crashTracker, broadcaster, follower, logger)
+	checker := provideChecker(member, controller, dialer, broadcaster, server, relayMetrics, logger)
+	relay := provideRelay(settings, controller, pool, healthTracker, budget, limiter, tracker, crashTracker, replicaClient, broadcaster, relayMetrics, shutdown, mangomemoryPool, detector, follower, checker, logger)
 	reader := provideReader(store, mirror, seats, follower, contact, logger)
 	poller := providePoller(controller, store, contact, follower, reader, mirror, broadcaster)
-	monitor := provideMonitor(member, controller, relay, broadcaster, follower, logger)
+	monitor := provideMonitor(member, controller, relay, broadcaster, follower, checker, logger)
 	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, contact, seats, logger)
 	deputy := provideDeputy(member, mangoentryPlacementLease, controller, contact, seats, broadcaster, logger)
-	loadTable := mangohub.NewLoadTable()
-	reporter := provideReporter(member, limiter, healthTracker, controller, follower, loadTable, broadcaster)
-	server := provideHubServer(member, mirror, contact, reporter, crashTracker, broadcaster, follower, logger)
 	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
-	mangoentryIngress := newIngress(relay, controller, shutdown, pool, logger)
-	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, shutdown, pool)
+	mangoentryIngress := newIngress(relay, controller, shutdown, mangomemoryPool, logger)
+	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, checker, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, shutdown, mangomemoryPool, pool)
 	return daemon, nil
 }
 
@@ -68,8 +77,8 @@
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
-	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
-	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, mangometric.NewRelay, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangohub/load.go
+++ b/internal/mangohub/load.go
@@ -86,6 +86,7 @@
 		if l.Requests > 0 || l.Demand > 0 {
 			list = append(list, &mangomessage.ReplicaLoad{
 				Replica: id, Requests: uint32(max(l.Requests, 0)), Tokens: uint32(max(l.Tokens, 0)), Demand: float32(l.Demand),
+				Later: uint32(max(l.Later, 0)),
 			})
 		}
 	}
@@ -96,7 +97,9 @@
 func DecodeLoads(list []*mangomessage.ReplicaLoad) map[string]mangoreplica.Load {
 	loads := make(map[string]mangoreplica.Load, len(list))
 	for _, m := range list {
-		loads[m.GetReplica()] = mangoreplica.Load{Requests: int(m.GetRequests()), Tokens: float64(m.GetTokens()), Demand: float64(m.GetDemand())}
+		loads[m.GetReplica()] = mangoreplica.Load{
+			Requests: int(m.GetRequests()), Tokens: float64(m.GetTokens()), Demand: float64(m.GetDemand()), Later: int(m.GetLater()),
+		}
 	}
 	return loads
 }
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -214,7 +214,7 @@
 	defer cancel()
 	done, cancelled := make(chan struct{}), make(chan bool, 1)
 	go func() {
-		cancelled <- r.cancelWhenNeedless(done, cancel)
+		cancelled <- r.cancelWhenUnneeded(done, cancel)
 	}()
 	if snapshot {
 		items, revision, err = r.store.Snapshot(ctx, fresh)
@@ -226,101 +226,6 @@
 	return items, revision, <-cancelled && err != nil, err
 }
 
-// cancelWhenNeedless calls cancel when the daemon no longer has to read the store, or when its user gave up on the watch. It
-// returns true if so, and false when done is closed.
-func (r *Reader) cancelWhenNeedless(done <-chan struct{}, cancel context.CancelFunc) bool {
-	select {
-	case <-r.mirror.restart:
-		// A restart that was asked for before this call.
-	default:
-	}
-	tick := time.NewTicker(roleCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-done:
-			return false
-		case <-r.mirror.restart:
-			cancel()
-			return true
-		case <-tick.C:
-			if !r.hasDuty(time.Now()) {
-				cancel()
-				return true
-			}
-		}
-	}
-}
-
-// awaitDuty waits until this daemon has to read the store; it returns false when the context ends.
-func (r *Reader) awaitDuty(ctx context.Context) bool {
-	for {
-		duty := r.hasDuty(time.Now())
-		if duty != r.reading {
-			r.reading = duty
-			r.mirror.SetReading(duty)
-			seat, seated := r.seats.Held()
-			link := r.upstream.Link()
-			r.logger.WithFields(logrus.Fields{
-				"event": "store_reader", "reads": duty, "seated": seated, "seat": seat, "hub": link.Hub, "revision": mangorevision.Text(r.mirror.Revision()),
-			}).Info("this daemon begins or ends to read the store itself")
-		}
-		if duty {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-r.mirror.restart:
-			r.deafAt = time.Now()
-		case <-time.After(roleCheckInterval):
-		}
-	}
-}
-
-// hasDuty reports whether this daemon has to read the store now.
-func (r *Reader) hasDuty(now time.Time) bool {
-	link := r.upstream.Link()
-	if link.Hub != r.drawnFor.Hub || !link.Since.Equal(r.drawnFor.Since) || r.grace == 0 {
-		r.drawnFor = link
-		r.grace, r.unconfirmed = hubGrace+rand.N(hubGraceJitter), unconfirmedGrace+rand.N(unconfirmedJitter)
-	}
-	_, seated := r.seats.Held()
-	return readsStore(duty{
-		loaded: r.mirror.Loaded(), seated: seated, primary: r.upstream.IsPrimary(), link: link, grace: r.grace, unconfirmed: r.unconfirmed,
-		deaf: now.Sub(r.deafAt) < deafTime,
-	}, now)
-}
-
-// duty is what decides whether a daemon reads the store itself.
-type duty struct {
-	// deaf says that the changes from the hub have just been found to lag behind those of the store.
-	deaf bool
-	// loaded says that the daemon has everything, seated that it holds a seat, and primary that it reads on behalf of all.
-	loaded, seated, primary bool
-	link                    Link
-	// grace and unconfirmed are the times that a daemon without a seat waits without a hub, and with one that has lost the
-	// store.
-	grace, unconfirmed time.Duration
-}
-
-// readsStore reports whether a daemon reads the store itself: always as the primary hub, and otherwise when it hears of no
-// changes in another way.
-func readsStore(d duty, now time.Time) bool {
-	switch {
-	case d.primary, d.seated && d.deaf, !d.loaded && !d.link.Healthy(now):
-		return true
-	case d.link.Confirmed(now):
-		return false
-	case d.seated:
-		return true
-	case d.link.Healthy(now):
-		return now.Sub(d.link.UnconfirmedAt) > d.unconfirmed
-	default:
-		return now.Sub(d.link.Since) > d.grace
-	}
-}
-
 // batchPause returns the pause after an answer with changes; since is the time since the previous such answer.
 func (r *Reader) batchPause(since time.Duration) time.Duration {
 	_, seated := r.seats.Held()
--- a/internal/mangohub/reporter.go
+++ b/internal/mangohub/reporter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
@@ -17,19 +18,20 @@
 	groupHeartbeats = 2
 )
 
-// Announcer sends the load of daemons, this one or as a hub its group, to hubs. It must not block.
-type Announcer func(loads []*mangomessage.ReplicaLoad, daemons int)
+// Announcer sends the load and the demand of daemons, this one or as a hub its group, to hubs. It must not block.
+type Announcer func(loads []*mangomessage.ReplicaLoad, demand *mangomessage.DemandReport, daemons int)
 
 // Topology tells whether this daemon acts as a hub.
 type Topology interface {
+	// IsHub reports whether this daemon acts as a hub.
 	IsHub() bool
 }
 
 // LoadSource has the load that this daemon puts on replicas.
 type LoadSource func(now time.Time) map[string]mangoreplica.Load
 
-// Reporter tells the hub the load that this daemon puts on replicas, and the health tracker the load of all daemons. Its
-// methods are safe for concurrent use.
+// Reporter sends this daemon's load on replicas and its demand to the hub, and passes those of all daemons to the health tracker
+// and the demand tracker. Its methods are safe for concurrent use.
 type Reporter struct {
 	self     string
 	own      LoadSource
@@ -37,6 +39,8 @@
 	state    State
 	topology Topology
 	table    *LoadTable
+	demand   *mangocapacity.Tracker
+	demands  *DemandTable
 	announce Announcer
 	// dataCentre is that of this daemon.
 	dataCentre string
@@ -47,14 +51,18 @@
 	reportedAt time.Time
 	// total is the load of all daemons as the hub last told it.
 	total map[string]mangoreplica.Load
+	// reportedDemand is the demand that was announced last.
+	reportedDemand mangocapacity.Report
 }
 
 // NewReporter returns a reporter of the daemon self in a data centre.
 func NewReporter(
-	self, dataCentre string, own LoadSource, health *mangoreplica.HealthTracker, state State, topology Topology, table *LoadTable, announce Announcer,
+	self, dataCentre string, own LoadSource, health *mangoreplica.HealthTracker, state State, topology Topology, table *LoadTable,
+	demand *mangocapacity.Tracker, demands *DemandTable, announce Announcer,
 ) *Reporter {
 	return &Reporter{
-		self: self, dataCentre: dataCentre, own: own, health: health, state: state, topology: topology, table: table, announce: announce,
+		self: self, dataCentre: dataCentre, own: own, health: health, state: state, topology: topology, table: table, demand: demand,
+		demands: demands, announce: announce,
 		total: map[string]mangoreplica.Load{},
 	}
 }
@@ -82,24 +90,28 @@
 // the health tracker the load of all.
 func (r *Reporter) reportGroup(own map[string]mangoreplica.Load, send bool, now time.Time) {
 	r.table.RecordMember(r.self, own, now)
+	ownDemand := r.demand.Own(now)
+	r.demands.RecordMember(r.self, ownDemand, now)
 	if send {
 		group, daemons := r.table.Group(now)
-		r.announce(EncodeLoads(group), daemons)
+		r.announce(EncodeLoads(group), EncodeDemand(r.demands.Group(now), now), daemons)
 	}
 	total, daemons := r.table.Total(now)
 	r.health.SetFleetLoad(total, own, daemons, now)
+	r.demand.SetFleet(r.demands.Total(now), ownDemand, now)
 }
 
-// reportOwn sends the load of this daemon to its hub if it has changed or the last report is old.
+// reportOwn sends the load of this daemon to its hub if it has changed, the last report is old, or there are refusals to report.
 func (r *Reporter) reportOwn(own map[string]mangoreplica.Load, now time.Time) {
+	demand := r.demand.Own(now)
 	r.mu.Lock()
-	due := now.Sub(r.reportedAt) >= maxReportInterval || !maps.Equal(own, r.reported)
+	due := now.Sub(r.reportedAt) >= maxReportInterval || !maps.Equal(own, r.reported) || len(demand.Refusals) > 0
 	if due {
-		r.reported, r.reportedAt = own, now
+		r.reported, r.reportedDemand, r.reportedAt = own, demand, now
 	}
 	r.mu.Unlock()
 	if due {
-		r.announce(EncodeLoads(own), 1)
+		r.announce(EncodeLoads(own), EncodeDemand(demand, now), 1)
 	}
 }
 
@@ -120,24 +132,33 @@
 		}
 	}
 	r.total = loads
-	reported := r.reported
+	reported, reportedDemand := r.reported, r.reportedDemand
 	r.mu.Unlock()
-	r.health.SetFleetLoad(loads, reported, int(u.GetDaemons()), time.Now())
+	now := time.Now()
+	r.health.SetFleetLoad(loads, reported, int(u.GetDaemons()), now)
+	if u.GetDemand() != nil {
+		// A hub of an earlier version does not send it.
+		r.demand.SetFleet(DecodeDemand(u.GetDemand(), now), reportedDemand, now)
+	}
 }
 
-// HandleReport takes the load that a follower, or another hub for its group, announced.
-func (r *Reporter) HandleReport(from string, loads []*mangomessage.ReplicaLoad, daemons int, group bool) {
+// HandleReport takes the load and the demand that a follower, or another hub for its group, announced.
+func (r *Reporter) HandleReport(from string, loads []*mangomessage.ReplicaLoad, demand *mangomessage.DemandReport, daemons int, group bool) {
+	now := time.Now()
 	if group {
-		r.table.RecordGroup(from, DecodeLoads(loads), daemons, time.Now())
+		r.table.RecordGroup(from, DecodeLoads(loads), daemons, now)
+		r.demands.RecordGroup(from, DecodeDemand(demand, now), now)
 		return
 	}
-	r.table.RecordMember(from, DecodeLoads(loads), time.Now())
+	r.table.RecordMember(from, DecodeLoads(loads), now)
+	r.demands.RecordMember(from, DecodeDemand(demand, now), now)
 }
 
 // Loads returns the load of all daemons for followers.
 func (r *Reporter) Loads() Loads {
-	total, daemons := r.table.Total(time.Now())
-	l := Loads{Local: map[string]mangoreplica.Load{}, Remote: map[string]mangoreplica.Load{}, Daemons: daemons}
+	now := time.Now()
+	total, daemons := r.table.Total(now)
+	l := Loads{Local: map[string]mangoreplica.Load{}, Remote: map[string]mangoreplica.Load{}, Demand: r.demands.Total(now), Daemons: daemons}
 	fleet := r.state.View().Fleet
 	for id, load := range total {
 		if p := fleet.ByID(id); p != nil && p.DataCentre != r.dataCentre && load.Demand == 0 {
--- a/internal/mangohub/server.go
+++ b/internal/mangohub/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangorevision"
 	"mangopath.org/mangopath/pkg/mangomessage"
@@ -30,7 +31,9 @@
 type Loads struct {
 	// Local has the replicas of the hub's data centre, and Remote all others.
 	Local, Remote map[string]mangoreplica.Load
-	Daemons       int
+	// Demand is what all daemons observe of demand.
+	Demand  mangocapacity.Report
+	Daemons int
 }
 
 // Server sends followers what the mirror learns, announcements and loads. Its methods are safe for concurrent use.
@@ -95,6 +98,18 @@
 	return len(s.followers)
 }
 
+// Follows reports whether a daemon follows this one and gets its announcements.
+func (s *Server) Follows(daemon string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := range s.followers {
+		if f.name == daemon && !f.storeOnly {
+			return true
+		}
+	}
+	return false
+}
+
 // Run computes the loads and wakes the streams at each heartbeat, until the context ends.
 func (s *Server) Run(ctx context.Context) error {
 	tick := time.NewTicker(heartbeatInterval)
@@ -255,6 +270,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u.Loads, u.Daemons = EncodeLoads(s.current.Local), uint32(s.current.Daemons)
+	u.Demand = EncodeDemand(s.current.Demand, time.Now())
 	if s.heartbeats%remoteLoadHeartbeats == 0 {
 		u.Loads = append(u.Loads, EncodeLoads(s.current.Remote)...)
 		u.AllLoads = true
--- a/internal/mangolayout/order.go
+++ b/internal/mangolayout/order.go
@@ -28,6 +28,8 @@
 	maxBusyTime   = 20 * time.Second
 	// retryPause is the time for which a replica gets no orders after it refused one or could not be reached.
 	retryPause = 500 * time.Millisecond
+	// reportLag is the age that a report may have.
+	reportLag = 200 * time.Millisecond
 )
 
 // Outcome is the answer of a replica to an order.
@@ -218,7 +220,8 @@
 }
 
 // refreshAcceptedOrders reads how many orders a replica has accepted and pauses it, so that a later plan starts from the
-// layers that it reports. The pause covers the time by which reports lag behind.
+// layers that it reports. The pause covers the time by which reports lag behind. None is needed if the report shows further
+// orders and unchanged layers: those orders changed the paths of requests, and the next plan can go on with their number.
 func (p *Placer) refreshAcceptedOrders(ctx context.Context, o plannedOrder, now time.Time) {
 	i := o.Replica.Incarnation()
 	next := pendingOrder{layers: o.Replica.Layers, paused: true, until: now.Add(retryPause)}
@@ -232,15 +235,30 @@
 	before, known := p.acceptedOrders[i]
 	p.acceptedOrders[i] = max(before, report.AcceptedOrders)
 	p.mu.Unlock()
-	if !known && !report.Busy && report.Layers == o.Replica.Layers {
-		// The replica has had no order lately, so its number is current and no pause is needed.
-		next.until = now
-	}
+	unchanged := !report.Busy && report.Layers == o.Replica.Layers
 	if report.Layers != o.Replica.Layers && !report.Busy {
 		// The entry follows later; until then the reported layers count.
 		p.onLayerReport(mangoreplica.LayerReport{Replica: i, Layers: report.Layers})
 	}
+	switch {
+	case unchanged && (!known || report.AcceptedOrders > before):
+		next.until = now
+	case unchanged && o.Urgent:
+		// The report is older than the order that the replica accepted in between.
+		next.until = now.Add(reportLag)
+	}
 	p.setPending(i, next)
+	if !next.until.After(now) {
+		p.requestPlan()
+	}
+}
+
+// requestPlan makes Run plan again without waiting for the next interval. It never blocks.
+func (p *Placer) requestPlan() {
+	select {
+	case p.replan <- struct{}{}:
+	default:
+	}
 }
 
 // recordSent records an order as pending and passes it to the order handler.
--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -57,11 +57,13 @@
 
 // Placer plans the layers of all split services, and sends the orders while its daemon holds the lease.
 type Placer struct {
-	state         State
-	lease         Lease
-	client        ReplicaClient
-	health        *mangoreplica.HealthTracker
-	changed       <-chan struct{}
+	state   State
+	lease   Lease
+	client  ReplicaClient
+	health  *mangoreplica.HealthTracker
+	changed <-chan struct{}
+	// replan is signalled when an order can be sent at once that could not be sent before.
+	replan        chan struct{}
 	logger        logrus.FieldLogger
 	observe       Observer
 	onLayerReport func(s mangoreplica.LayerReport)
@@ -115,7 +117,7 @@
 	p := &Placer{
 		state: state, lease: lease, client: client, health: health, logger: logrus.StandardLogger(),
 		observe: func(string, string) {}, onLayerReport: func(mangoreplica.LayerReport) {}, onOrder: func(GivenOrder) {}, pendingOrders: map[mangoreplica.Incarnation]pendingOrder{},
-		acceptedOrders: map[mangoreplica.Incarnation]uint64{}, startups: map[string]startup{},
+		replan: make(chan struct{}, 1), acceptedOrders: map[mangoreplica.Incarnation]uint64{}, startups: map[string]startup{},
 		lossChecks: map[mangoreplica.Incarnation]lossCheck{}, partitions: newPartitionDetector(),
 	}
 	for _, o := range opts {
@@ -135,6 +137,7 @@
 			return ctx.Err()
 		case <-tick.C:
 		case <-p.changed:
+		case <-p.replan:
 		}
 		fence, ok := p.lease.Holds()
 		if !ok {
--- a/internal/mangolimit/limiter.go
+++ b/internal/mangolimit/limiter.go
@@ -189,9 +189,7 @@
 	own := m.perSecond(now, demandTime)
 	draw, start := Draw{}, 0.0
 	for _, s := range l.limited(service) {
-		demand := own + l.otherDemand(s.Replica.ID, own, now)
-		allowed := max(utilisation*s.PerSecond, minPerSecond)
-		s.updateShare(own/demand, now)
+		allowed, demand := l.updateAllowance(s, own, now)
 		share := min(allowed/demand, 1)
 		draw.capacity, draw.demand = draw.capacity+allowed, max(draw.demand, demand)
 		if math.Mod(position-start+1, 1) >= share || s.aheadOfShare(allowed, now) {
@@ -205,6 +203,14 @@
 	return draw
 }
 
+// updateAllowance updates the usual share of this daemon in the demand for a replica, where own is its present demand. It returns the
+// requests a second that the replica takes from all daemons together, and those that all daemons have for it.
+func (l *Limiter) updateAllowance(s *limitState, own float64, now time.Time) (allowed, demand float64) {
+	demand = own + l.otherDemand(s.Replica.ID, own, now)
+	s.updateShare(own/demand, now)
+	return max(utilisation*s.PerSecond, minPerSecond), demand
+}
+
 // limited returns the replicas of a service that name a limit, in the order of their ids.
 func (l *Limiter) limited(service string) []*limitState {
 	var list []*limitState
--- a/internal/mangoliveness/doc.go
+++ b/internal/mangoliveness/doc.go
@@ -1,4 +1,5 @@
-// Package mangoliveness detects within a second that the process of a replica has ended.
+// Package mangoliveness detects within a second that the process of a replica has ended, and within a few that a replica does not
+// answer any more. It also says which hubs monitor a replica.
 //
 // # Usage
 //
--- a/internal/mangoliveness/monitor.go
+++ b/internal/mangoliveness/monitor.go
@@ -32,6 +32,10 @@
 	// shortConnLifetime is the lifetime below which a connection counts as short. After two short ones in a row the next dial
 	// waits for redialPause, so that a replica that accepts and closes connections is not flooded with dials.
 	shortConnLifetime = time.Second
+	// Keep-alive probes end the idle connection to a replica that does not answer within 3 s. Whole seconds are the smallest
+	// unit that the kernel knows, and a single probe may get lost.
+	probeInterval = time.Second
+	probeCount    = 2
 )
 
 // State returns what is known from the store.
@@ -45,7 +49,10 @@
 	state       State
 	changed     <-chan struct{}
 	reportEnded func(r *mangoreplica.Replica)
-	logger      logrus.FieldLogger
+	// reportSilent is called when a replica stops answering.
+	reportSilent func(r *mangoreplica.Replica)
+	dial         func(ctx context.Context, address string) (net.Conn, error)
+	logger       logrus.FieldLogger
 
 	// cancels has the functions that end the monitoring of replicas.
 	cancels map[mangoreplica.Incarnation]context.CancelFunc
@@ -58,6 +65,20 @@
 // WithLogger sets the logger of ended processes.
 func WithLogger(l logrus.FieldLogger) Option { return func(m *Monitor) { m.logger = l } }
 
+// WithSilenceHandler sets the function that is called when a connection to a replica has ended and the next one gets no answer. It
+// must not block.
+func WithSilenceHandler(f func(r *mangoreplica.Replica)) Option {
+	return func(m *Monitor) { m.reportSilent = f }
+}
+
+// dialProbed dials a connection with keep-alive probes.
+func dialProbed(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // New returns the monitor of a daemon. A signal on changed makes it update its replicas. It calls reportEnded when the
 // process of a replica seems to have ended; reportEnded must not block.
 func New(
@@ -65,7 +86,7 @@
 ) *Monitor {
 	m := &Monitor{
 		self: self, state: state, changed: changed, reportEnded: reportEnded, logger: logrus.StandardLogger(),
-		cancels: map[mangoreplica.Incarnation]context.CancelFunc{},
+		reportSilent: func(*mangoreplica.Replica) {}, dial: dialProbed, cancels: map[mangoreplica.Incarnation]context.CancelFunc{},
 	}
 	for _, o := range opts {
 		o(m)
@@ -127,22 +148,9 @@
 	return assigned
 }
 
-// isAssigned reports whether this daemon has to monitor a replica: it is a hub, and among the monitorsPerReplica hubs of the
-// replica's data centre whose rendezvous hashes with the replica are the lowest. The hubs of other data centres monitor a
-// replica whose data centre has none.
+// isAssigned reports whether this daemon has to monitor a replica.
 func (m *Monitor) isAssigned(replica *mangoreplica.Replica, hubs []mangostate.Member) bool {
-	local := slices.ContainsFunc(hubs, func(o mangostate.Member) bool { return o.DataCentre == replica.DataCentre })
-	own, lower, isHub := rendezvousHash(m.self.Name, replica.ID), 0, false
-	for _, o := range hubs {
-		switch {
-		case local && o.DataCentre != replica.DataCentre:
-		case o.Name == m.self.Name:
-			isHub = true
-		case rendezvousHash(o.Name, replica.ID) < own:
-			lower++
-		}
-	}
-	return isHub && lower < monitorsPerReplica
+	return slices.ContainsFunc(Monitors(replica, hubs), func(o mangostate.Member) bool { return o.Name == m.self.Name })
 }
 
 // rendezvousHash returns the hash by which daemons are ranked for a replica.
@@ -155,12 +163,10 @@
 func (m *Monitor) monitorReplica(ctx context.Context, r *mangoreplica.Replica) {
 	connected, lastWasShort := false, false
 	for ctx.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", r.Address)
+		conn, err := m.dial(ctx, r.Address)
 		if err != nil {
-			if ctx.Err() == nil && connected && errors.Is(err, syscall.ECONNREFUSED) {
-				m.logger.WithFields(logrus.Fields{"event": "replica_ended", "replica": r.ID, "address": r.Address}).
-					WithError(err).Warn("the process of a replica has ended")
-				m.reportEnded(r)
+			if ctx.Err() == nil && connected {
+				m.reportLost(r, err)
 			}
 			connected = false
 			sleep(ctx, redialPause+rand.N(redialJitter))
@@ -177,6 +183,18 @@
 	}
 }
 
+// reportLost reports a replica by the error of the dial that followed the end of a connection.
+func (m *Monitor) reportLost(r *mangoreplica.Replica, err error) {
+	entry := m.logger.WithFields(logrus.Fields{"replica": r.ID, "address": r.Address}).WithError(err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		entry.WithField("event", "replica_ended").Warn("the process of a replica has ended")
+		m.reportEnded(r)
+		return
+	}
+	entry.WithField("event", "replica_silent").Warn("a replica does not answer any more")
+	m.reportSilent(r)
+}
+
 // waitClosed blocks until the other end closes the connection or the context ends.
 func waitClosed(ctx context.Context, conn net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/internal/mangoliveness/monitor_test.go
+++ b/internal/mangoliveness/monitor_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,6 +104,49 @@
 	}
 }
 
+// Guards against a replica that loses its power while no request passes through it and stays unnoticed, and against the report of
+// one that never could be reached, which says nothing new.
+func TestDetectsSilentReplica(t *testing.T) {
+	tests := []struct {
+		name      string
+		connected bool
+		err       error
+		want      string
+	}{
+		{"no answer after a connection", true, os.ErrDeadlineExceeded, "silent"},
+		{"refused after a connection", true, syscall.ECONNREFUSED, "ended"},
+		{"no answer at any time", false, os.ErrDeadlineExceeded, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := make(chan string, 4)
+			m := New(mangostate.Member{Name: "entry-0"}, fixedState{view(1, replica("r", "model", "r:1"))}, nil,
+				func(*mangoreplica.Replica) { reports <- "ended" }, WithLogger(discardLogger()),
+				WithSilenceHandler(func(*mangoreplica.Replica) { reports <- "silent" }))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			dials := 0
+			m.dial = func(context.Context, string) (net.Conn, error) {
+				dials++
+				if dials == 1 && tt.connected {
+					conn, other := net.Pipe()
+					_ = other.Close()
+					return conn, nil
+				}
+				time.AfterFunc(10*time.Millisecond, cancel)
+				return nil, tt.err
+			}
+			m.monitorReplica(ctx, replica("r", "model", "r:1"))
+			got := ""
+			if len(reports) > 0 {
+				got = <-reports
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
 // Guards against replicas that no daemon or every daemon monitors, and against idle connections that take up the few slots
 // of replicas of plain services.
 func TestMonitorAssignment(t *testing.T) {
--- a/internal/mangopipeline/chain.go
+++ b/internal/mangopipeline/chain.go
@@ -1,6 +1,7 @@
 package mangopipeline
 
 import (
+	"math"
 	"time"
 
 	"mangopath.org/mangopath/internal/mangoreplica"
@@ -29,8 +30,12 @@
 	Stages     []Stage
 	// Cost ranks chains: the predicted time of one token on all stages, with the penalties that Choose adds.
 	Cost time.Duration
-	// Pressure is the share of the KV cache in use on the fullest stage, as estimated by this daemon.
+	// Pressure is the share of the KV cache in use on the fullest stage, as estimated by this daemon. If the first stage has more
+	// requests than slots, it is at least SlotUse, which is above 1 then.
 	Pressure float64
+	// SlotUse is the share of the slots of the first stage in use, this request included; 0 if its entry names none. Repair does not
+	// set it, as the first stage stays.
+	SlotUse float64
 }
 
 // IDs returns the ids of the replicas in the order of the stages.
@@ -74,9 +79,54 @@
 	Exclude func(id string) bool
 	// CanBeFirst reports whether a replica may be the first stage of the chain; nil allows all.
 	CanBeFirst func(r mangoreplica.Incarnation) bool
+	// Connected reports whether there is an idle connection to a replica, which makes it a slightly better first stage; nil
+	// means to none.
+	Connected func(r *mangoreplica.Replica) bool
 	// Penalty returns an extra cost of a data centre, for a queue there or because the request failed there before; nil
 	// adds none.
 	Penalty func(dataCentre string) time.Duration
 	// Random returns numbers in [0, 1).
 	Random func() float64
+	// Spread makes Choose pick a data centre at random, in proportion to the free share of its chain and to the inverse of
+	// its cost, instead of the cheapest one. It is set for streams that restart after a loss, many of which choose at once.
+	Spread bool
+	// Preferred is the data centre that the request goes to unless another one costs much less; empty stands for the local one, which
+	// costs less to leave. It is drawn by the shares of mangobalance.
+	Preferred string
+	// Repairs returns the number of prompts that a replica was lately given by repairs of this daemon and may still be
+	// prefilling; nil stands for none. Only Repair uses it.
+	Repairs func(id string) float64
+}
+
+// distanceCost returns what is added to the cost of a chain whose data centre is neither preferred nor, without a preferred one, local.
+// With a preferred one, the cost of failures of the first replica is raised as much as that of leaving, so that a failing replica is
+// left as early as without one.
+func (r Request) distanceCost(view View, c Chain) time.Duration {
+	if r.Preferred == "" {
+		if c.DataCentre != view.LocalDataCentre {
+			return remoteCost
+		}
+		return 0
+	}
+	failures := view.Status.FailureRate(c.Stages[0].Replica.Incarnation(), view.Now) * float64(failureCost)
+	cost := time.Duration(failures * (float64(notPreferredCost)/float64(remoteCost) - 1))
+	if c.DataCentre != r.Preferred {
+		cost += notPreferredCost
+	}
+	return cost
+}
+
+// rank returns the number by which Choose compares chains; the lowest wins.
+func (r Request) rank(c Chain) float64 {
+	if !r.Spread {
+		return float64(c.Cost)
+	}
+	return float64(c.Cost) / (1 - min(c.Pressure, maxPressure)) * r.exponential()
+}
+
+// exponential returns a random number of an exponential distribution with mean 1, its extremes cut off. Among costs multiplied
+// by such numbers, each is the lowest with a probability in proportion to its inverse.
+func (r Request) exponential() float64 {
+	const cut = 0.005
+	return -math.Log(1 - cut - (1-2*cut)*r.Random())
 }
--- a/internal/mangopipeline/choose.go
+++ b/internal/mangopipeline/choose.go
@@ -17,15 +17,31 @@
 	// remoteCost is added to chains in other data centres, so that requests stay local unless the local replicas are
 	// much busier.
 	remoteCost = 30 * time.Millisecond
+	// notPreferredCost is added to chains outside of the preferred data centre. In the model of mangobalance with a data centre of half
+	// the size, 0.165 of the streams are remote with 30 ms and 0.072 with 70 ms; with 130 ms and 330 ms more streams are late and more
+	// are rejected where slots or memory are nearly used up.
+	notPreferredCost = 70 * time.Millisecond
 	// redundantCost is added for replicas whose layers other replicas hold as well, which keeps requests off them until the
-	// others are about half full, where it equals what the pressure adds. A replica without requests can take over lost layers at once; a busy one first has to
-	// finish its requests.
+	// others are about half full, where it equals what the pressure adds. A replica without requests can take over lost layers at
+	// once; a busy one first has to finish its requests.
 	redundantCost = 15 * time.Millisecond
 	// jitter is the largest random addition to the cost of a replica, as a share of the cost. It spreads the requests of
 	// daemons that choose from the same state.
 	jitter = 0.15
+	// connectedBonus is taken from the cost of a first stage to which there is an idle connection, as a share of that cost. It is
+	// a tenth of the jitter, so that it decides only between replicas that cost about the same.
+	connectedBonus = jitter / 10
 	// avoidedCostFactor multiplies the cost of an avoided replica, which makes it the last resort.
 	avoidedCostFactor = 50
+	// slotCost is the cost of a first stage of which half of the slots are in use. It equals redundantCost, so that a redundant
+	// replica becomes a first stage before the slots of another one run out.
+	slotCost = redundantCost
+	// maxSlotUse caps the share of slots in the denominator of the cost, so that a first stage without a free slot costs a finite
+	// 0.5 s, and more with each waiting request up to maxSlotLoad.
+	maxSlotUse = 0.97
+	// maxSlotLoad caps the share of slots in the numerator, which bounds the cost to 10 s. A replica can report any number of waiting
+	// requests, and the cost must stay below that of a data centre that is cut off.
+	maxSlotLoad = 20
 	// failureCost is the cost of a failure of the first replica, which uses up one of the few attempts of a request.
 	failureCost = 200 * time.Millisecond
 	// maxPressure caps the pressure in the cost, which would grow without limit as the pressure approaches 1.
@@ -42,20 +58,18 @@
 		return Chain{}, &Error{Op: "Choose", Kind: KindInvalid, Err: errors.New("the service has no engine, or its engine has no layers")}
 	}
 	for _, useAvoided := range []bool{false, true} {
-		best, found := Chain{Cost: math.MaxInt64}, false
+		best, found, lowest := Chain{}, false, 0.0
 		for _, s := range groupByDataCentre(view, request, useAvoided) {
 			c, ok := s.cheapestChain(view.Engine.Layers)
 			if !ok {
 				continue
 			}
-			if s.dataCentre != view.LocalDataCentre {
-				c.Cost += remoteCost
-			}
+			c.Cost += request.distanceCost(view, c)
 			if request.Penalty != nil {
 				c.Cost += request.Penalty(s.dataCentre)
 			}
-			if c.Cost < best.Cost {
-				best, found = c, true
+			if rank := request.rank(c); !found || rank < lowest {
+				best, found, lowest = c, true, rank
 			}
 		}
 		if found {
@@ -90,10 +104,15 @@
 	pressure float64
 	// redundant says that other replicas of the data centre hold all layers of this one.
 	redundant bool
+	// connected says that there is an idle connection to the replica; it counts for the first stage only.
+	connected bool
 	// slow replicas do not count as holders when other replicas are checked for redundancy.
 	slow bool
 	// failureRate is the share of requests that the replica is expected to fail; it counts for the first stage only.
 	failureRate float64
+	// slotUse is the share of the replica's slots in use once it runs the request as the first stage; 0 if its entry names no
+	// slots. slotCost is the cost of that, in nanoseconds; it counts for the first stage only.
+	slotUse, slotCost float64
 }
 
 // candidateSet holds the candidates of one data centre.
@@ -109,15 +128,13 @@
 func groupByDataCentre(view View, request Request, useAvoided bool) []*candidateSet {
 	var sets []*candidateSet
 	byDataCentre := map[string]*candidateSet{}
+	unknown := UnknownPressure(view)
 	for _, r := range view.Replicas {
-		if r.Draining || r.Layers.Len() == 0 || r.Layers.To > view.Engine.Layers || (request.Exclude != nil && request.Exclude(r.ID)) {
+		if !Usable(view, request, r, useAvoided) {
 			continue
 		}
 		costFactor := 1.0
 		if view.Status.Avoided(r.Incarnation(), view.Now) {
-			if !useAvoided || view.Status.CertainToFail(r.Incarnation(), view.Now) {
-				continue
-			}
 			costFactor = avoidedCostFactor
 		}
 		s := byDataCentre[r.DataCentre]
@@ -126,10 +143,12 @@
 			byDataCentre[r.DataCentre] = s
 			sets = append(sets, s)
 		}
-		c := estimateCost(view, request, r)
+		c := estimateCost(view, request, r, unknown[r.DataCentre])
 		factor := costFactor * (1 + jitter*request.Random())
+		c.connected = r.Layers.From == 0 && request.Connected != nil && request.Connected(r)
 		c.costPerLayer *= factor
 		c.timePerLayer *= factor
+		c.slotCost *= factor
 		s.candidates = append(s.candidates, c)
 	}
 	for _, s := range sets {
@@ -172,16 +191,22 @@
 	}
 }
 
-// estimateCost estimates the time of one token in one layer of a replica and the pressure on its KV cache.
-func estimateCost(view View, request Request, r *mangoreplica.Replica) candidate {
+// estimateCost estimates the time of one token in one layer of a replica and the pressure on its KV cache. unknown has, for each
+// layer, the pressure of requests that are not in the loads of its holders (unknownPressure); nil if there are none.
+func estimateCost(view View, request Request, r *mangoreplica.Replica, unknown []float64) candidate {
 	e := view.Engine
 	stepPerLayer := e.StepMS * float64(time.Millisecond) / float64(e.Layers)
 	if a, ok := e.Accelerators[r.Accelerator]; ok && a.StepFactor > 0 {
 		stepPerLayer *= a.StepFactor
 	}
+	load := view.Status.FleetLoad(r.ID, view.Now)
 	pressure := 0.0
 	if capacity := e.TokenCapacity(r.Accelerator, r.Layers.Len()); capacity > 0 {
-		pressure = (view.Status.FleetLoad(r.ID, view.Now).Tokens + request.Tokens) / capacity
+		pressure = (load.Tokens+request.Tokens)/capacity + MeanOver(r.Layers, unknown)
+	}
+	slotUse := 0.0
+	if r.Slots > 0 {
+		slotUse = float64(load.First()+1) / float64(r.Slots)
 	}
 	// Slowness is squared because the queue at a slow replica grows faster than its step time.
 	slowness := view.Status.Slowness(r.Incarnation(), view.Now)
@@ -191,50 +216,91 @@
 		replica: r, timePerLayer: timePerLayer, costPerLayer: timePerLayer / math.Pow(free, pressureExponent-1), pressure: pressure,
 		slow:        slowness >= mangoreplica.SlowThreshold,
 		failureRate: view.Status.FailureRate(r.Incarnation(), view.Now),
+		slotUse:     slotUse, slotCost: min(slotUse, maxSlotLoad) / (1 - min(slotUse, maxSlotUse)) * float64(slotCost),
 	}
 }
 
 // fixedCost returns the part of the cost of a stage that does not depend on its layers; first says that it is the first one.
 func (c candidate) fixedCost(first bool) float64 {
 	if first {
-		return float64(hopCost) + c.failureRate*float64(failureCost)
+		return float64(hopCost) + c.failureRate*float64(failureCost) + c.slotCost
 	}
 	return float64(hopCost)
 }
 
-// cheapestChain returns the cheapest sequence of candidates from the first to the last layer. A stage always runs up to the
-// last layer of its replica: a chain that leaves a replica earlier can be replaced by one with as many stages that does not.
+// cheapestChain returns the cheapest sequence of candidates from the first to the last layer.
 func (s *candidateSet) cheapestChain(layers int) (Chain, bool) {
-	// cost is the cost of the cheapest chain from each layer to the end, and next the candidate that it begins with.
-	cost := make([]float64, layers+1)
-	next := make([]int, layers+1)
-	for from := layers - 1; from >= 0; from-- {
-		cost[from], next[from] = math.Inf(1), -1
+	cover, ok := s.cheapestCover(mangoreplica.LayerRange{To: layers}, func(c candidate, r mangoreplica.LayerRange) (float64, bool) {
+		first := r.From == 0
+		if first && s.canBeFirst != nil && !s.canBeFirst(c.replica.Incarnation()) {
+			return 0, false
+		}
+		total := c.costPerLayer*float64(r.Len()) + c.fixedCost(first)
+		if first && c.connected {
+			total -= connectedBonus * c.costPerLayer * float64(r.Len())
+		}
+		if c.redundant {
+			total += float64(redundantCost)
+		}
+		return total, true
+	})
+	if !ok {
+		return Chain{}, false
+	}
+	chain := Chain{DataCentre: s.dataCentre}
+	for _, p := range cover {
+		chain.Stages = append(chain.Stages, p.stage)
+		chain.Pressure = max(chain.Pressure, p.candidate.pressure)
+		first := p.stage.Layers.From == 0
+		if first {
+			chain.SlotUse = p.candidate.slotUse
+		}
+		chain.Cost += time.Duration(p.candidate.timePerLayer*float64(p.stage.Layers.Len()) + p.candidate.fixedCost(first))
+	}
+	if chain.SlotUse > 1 {
+		chain.Pressure = max(chain.Pressure, chain.SlotUse)
+	}
+	return chain, true
+}
+
+// coverPart is a stage of a cover with the candidate that it was made from.
+type coverPart struct {
+	stage     Stage
+	candidate candidate
+}
+
+// cheapestCover returns the cheapest sequence of candidates that hold a range of layers without gap or overlap. costOf returns
+// the cost of a candidate for a part of the range, or false if it cannot take it. A stage always runs up to the last layer of
+// its replica: a cover that leaves a replica earlier can be replaced by one with as many stages that does not.
+func (s *candidateSet) cheapestCover(
+	layers mangoreplica.LayerRange, costOf func(c candidate, r mangoreplica.LayerRange) (float64, bool),
+) ([]coverPart, bool) {
+	// cost is the cost of the cheapest cover from each layer to the end, and next the candidate that it begins with.
+	cost := make([]float64, layers.Len()+1)
+	next := make([]int, layers.Len()+1)
+	for from := layers.To - 1; from >= layers.From; from-- {
+		at := from - layers.From
+		cost[at], next[at] = math.Inf(1), -1
 		for i, c := range s.candidates {
-			to := min(c.replica.Layers.To, layers)
-			if c.replica.Layers.From > from || to <= from || (from == 0 && s.canBeFirst != nil && !s.canBeFirst(c.replica.Incarnation())) {
+			to := min(c.replica.Layers.To, layers.To)
+			if c.replica.Layers.From > from || to <= from {
 				continue
 			}
-			total := c.costPerLayer*float64(to-from) + c.fixedCost(from == 0) + cost[to]
-			if c.redundant {
-				total += float64(redundantCost)
-			}
-			if total < cost[from] {
-				cost[from], next[from] = total, i
+			part, ok := costOf(c, mangoreplica.LayerRange{From: from, To: to})
+			if total := part + cost[to-layers.From]; ok && total < cost[at] {
+				cost[at], next[at] = total, i
 			}
 		}
 	}
 	if math.IsInf(cost[0], 1) {
-		return Chain{}, false
+		return nil, false
 	}
-	chain := Chain{DataCentre: s.dataCentre}
-	for from := 0; from < layers; {
-		c := s.candidates[next[from]]
-		to := min(c.replica.Layers.To, layers)
-		chain.Stages = append(chain.Stages, Stage{Replica: c.replica, Layers: mangoreplica.LayerRange{From: from, To: to}})
-		chain.Pressure = max(chain.Pressure, c.pressure)
-		chain.Cost += time.Duration(c.timePerLayer*float64(to-from) + c.fixedCost(from == 0))
+	var cover []coverPart
+	for from := layers.From; from < layers.To; {
+		c := s.candidates[next[from-layers.From]]
+		to := min(c.replica.Layers.To, layers.To)
+		cover = append(cover, coverPart{stage: Stage{Replica: c.replica, Layers: mangoreplica.LayerRange{From: from, To: to}}, candidate: c})
 		from = to
 	}
-	return chain, true
+	return cover, true
 }
--- a/internal/mangopipeline/doc.go
+++ b/internal/mangopipeline/doc.go
@@ -7,6 +7,11 @@
 //
 //	chain, err := mangopipeline.Choose(view, request)
 //
+// Repair replaces the lost stages of a running request by other replicas of its data centre and keeps all others, which hold
+// what they have computed so far:
+//
+//	chain, err := mangopipeline.Repair(view, request, stages, lost)
+//
 // All stages of a chain are in one data centre: the activations of a request take several megabytes, and the links between
 // data centres carry only a few requests of that size at a time.
 package mangopipeline
--- a/internal/mangorelay/call.go
+++ b/internal/mangorelay/call.go
@@ -6,10 +6,14 @@
 	"strconv"
 	"time"
 
+	"mangopath.org/mangopath/internal/mangobalance"
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangomemory"
+	"mangopath.org/mangopath/internal/mangorecovery"
+	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangoroute"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -60,6 +64,12 @@
 	// mostly for lack of capacity. The latter may be tried again after the request has waited for a target.
 	failedReplicas   map[string]bool
 	refusingReplicas map[string]bool
+	// unansweredFirst is the id of the first replica that last gave no answer to an order to change the path; the request does
+	// not restart there if it can begin elsewhere. turn is the place of a restart among those of this daemon; nil without one.
+	unansweredFirst string
+	turn            *mangorecovery.Turn
+	// sentTo is the first replica of the last send.
+	sentTo *mangoreplica.Replica
 	// draw says which replicas with a limit the next send may go to, and overLimit that there was no target but for limits.
 	draw      mangolimit.Draw
 	overLimit bool
@@ -70,6 +80,8 @@
 	// sends counts all sends of the request, sendsArrived those that reached an upstream.
 	sends        int
 	sendsArrived int
+	// hasRetry says that a retry has been taken from the budget for the next send.
+	hasRetry bool
 	// failedAnswer is the last complete answer with a status of 500 or above; it is passed on if no later send succeeds.
 	failedAnswer *bufferedAnswer
 	// gate lets the answer begin unless the daemon begins none any more.
@@ -83,8 +95,9 @@
 	// lastEventAt is when events were last passed on, and longestGap the longest gap between two such times.
 	lastEventAt time.Time
 	longestGap  time.Duration
-	// meanGap is the moving mean of these gaps.
+	// meanGap is the moving mean of these gaps, and gaps estimates from those on the present chain when an event is overdue.
 	meanGap time.Duration
+	gaps    gapEstimator
 	// sendStartedAt is when the last send began, and sendFirstEventDelay the time from then to its first event.
 	sendStartedAt       time.Time
 	sendFirstEventDelay time.Duration
@@ -93,6 +106,22 @@
 	// firstEventWait measures how long the last send waits for its first event; nil for plain services and started
 	// streams.
 	firstEventWait *mangodelay.PendingRequest
+	// progress tells the tracker of demand the same of the last send, and when it ends; nil if the service has one rank.
+	progress *mangocapacity.Send
+	// ranks has the ranks of the requests of the service, the most urgent first, and judged says that the shared view has decided on
+	// the request.
+	ranks  []mangoroute.Rank
+	judged bool
+	// returning says that a daemon refused the request before, and that its caller comes back at the time that it was told.
+	returning bool
+	// large says that the request needs much more memory than the mean of its class.
+	large bool
+	// demandAt has the memory that the demand of each data centre would take, as the decision on the request saw it; nil if unknown.
+	demandAt map[string]float64
+	// balanced says that shares and preferred are set: the share of new requests for each data centre, and the one that was drawn.
+	balanced  bool
+	shares    []mangobalance.Share
+	preferred string
 	// inFlight is the entry of the last send in the index of requests in flight.
 	inFlight *inFlightRequest
 	events   eventBuffer
@@ -112,14 +141,19 @@
 	memory *mangomemory.Account
 }
 
+// newCall returns the call of a request, without what is needed to answer it.
+func (r *Relay) newCall(request *Request) *call {
+	return &call{
+		relay: r, request: request, view: r.state.View(),
+		failedReplicas: map[string]bool{}, refusingReplicas: map[string]bool{}, mayHaveRunOn: map[string]bool{}, retryPenalties: map[string]time.Duration{},
+	}
+}
+
 // Serve answers one request. It returns false if the answer is incomplete, so that the caller's connection must be
 // closed.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, request *Request) bool {
-	c := &call{
-		relay: r, request: request, writer: w, control: http.NewResponseController(w), view: r.state.View(),
-		failedReplicas: map[string]bool{}, refusingReplicas: map[string]bool{}, mayHaveRunOn: map[string]bool{}, retryPenalties: map[string]time.Duration{},
-		memory: r.memory.Open(),
-	}
+	c := r.newCall(request)
+	c.writer, c.control, c.memory = w, http.NewResponseController(w), r.memory.Open()
 	defer c.memory.Close()
 	defer r.running.begin(request)()
 	c.events.lastID, c.events.hasLastID = request.LastEventID, request.Resumes
@@ -144,38 +178,51 @@
 // admit finds the route and the customer of the request and picks its service. If the request is not allowed, it writes a
 // refusal and returns false.
 func (c *call) admit() bool {
+	if reason, status, retryAfter := c.findRoute(); reason != "" {
+		c.writeRefusal(reason, status, retryAfter)
+		return false
+	}
+	c.setService(c.route.PickService(c.relay.random()))
+	c.relay.budget.CountRequest(c.serviceName, time.Now())
+	c.identity = c.computeIdentity()
+	c.setReturning(time.Now())
+	var refused bool
+	if c.refusal, refused, c.isTrial = c.relay.crashes.Admit(c.identity, time.Now()); refused {
+		c.writeRefusal(outcomeCrashesUpstreams, http.StatusServiceUnavailable, c.retryAfterSuspicion())
+		return false
+	}
+	return true
+}
+
+// findRoute finds the route and the customer of the request. If the request is not allowed, it returns the reason with the status
+// and the Retry-After time of the refusal.
+func (c *call) findRoute() (reason string, status int, retryAfter time.Duration) {
 	table := c.view.Table
 	if table == nil {
-		c.writeRefusal("NoConfiguration", http.StatusServiceUnavailable, retryAfterNoConfiguration)
-		return false
+		return outcomeNoConfiguration, http.StatusServiceUnavailable, retryAfterNoConfiguration
 	}
 	route, ok := table.Match(c.request.Host, c.request.Path)
 	if !ok {
-		c.writeRefusal("NoRoute", http.StatusNotFound, 0)
-		return false
+		return outcomeNoRoute, http.StatusNotFound, 0
 	}
 	c.route = route
 	if table.KeyRequired() && !route.Public {
 		if c.customer, ok = table.Customer(c.request.APIKey); !ok {
-			c.writeRefusal("UnknownKey", http.StatusUnauthorized, 0)
-			return false
+			return outcomeUnknownKey, http.StatusUnauthorized, 0
 		}
 	}
 	if !c.canFinishBeforeShutdown(time.Now()) {
-		c.writeRefusal(outcomeStopping, http.StatusServiceUnavailable, retryAfterStopping)
-		return false
+		return outcomeStopping, http.StatusServiceUnavailable, retryAfterStopping
 	}
-	c.serviceName = route.PickService(c.relay.random())
-	c.service = table.Service(c.serviceName)
+	return "", 0, 0
+}
+
+// setService sets the service of the request, with what follows from it and from the route.
+func (c *call) setService(name string) {
+	c.serviceName = name
+	c.service = c.view.Table.Service(name)
+	c.ranks = c.view.Table.Ranks(name)
 	c.deadline = c.computeDeadline()
-	c.relay.budget.CountRequest(c.serviceName, time.Now())
-	c.identity = c.computeIdentity()
-	var refused bool
-	if c.refusal, refused, c.isTrial = c.relay.crashes.Admit(c.identity, time.Now()); refused {
-		c.writeRefusal(outcomeCrashesUpstreams, http.StatusServiceUnavailable, c.retryAfterSuspicion())
-		return false
-	}
-	return true
 }
 
 // computeDeadline returns the earlier of the caller's and the route's deadline, or defaultTimeout from the arrival if neither
@@ -223,6 +270,7 @@
 	c.outcome, c.status = reason, status
 	header := c.writer.Header()
 	if retryAfter > 0 {
+		c.recordRefusal(reason, retryAfter, time.Now())
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
 	header.Set("Content-Type", "application/json")
--- a/internal/mangorelay/checks.go
+++ b/internal/mangorelay/checks.go
@@ -23,6 +23,10 @@
 	otherChecksWait = 50 * time.Millisecond
 	// checkInterval is the least time between two checks of one replica; a replica's report is about 200 ms old.
 	checkInterval = 150 * time.Millisecond
+	// requestInterval is the least time between two requests to hubs for one replica. It is longer than the interval in which hubs
+	// share a check, as the chains of a data centre fall silent up to a gap apart: with 150 ms and a soft limit of 45 ms, a silence
+	// of 200 ms had each sound replica checked twice in TestFleetFindsSilentReplica.
+	requestInterval = 180 * time.Millisecond
 	// healthCheckInterval is the least time between two health requests to one replica.
 	healthCheckInterval = time.Second
 	// holdLeaving is how long a replica that says that it is leaving is avoided; afterwards it is asked again when it
@@ -30,30 +34,17 @@
 	holdLeaving = 3 * time.Second
 )
 
-// checkChain checks in the background whether all replicas of a silent chain still accept connections.
-func (r *Relay) checkChain(t target, requestID string) {
-	if !r.chainChecks.allow(t.first.Incarnation(), time.Now()) {
-		return
-	}
-	for _, p := range t.stages {
-		candidates := r.crashCandidates(p.Replica)
-		r.enqueueCheck(func(ctx context.Context) { r.connectOrAvoid(ctx, p.Replica, requestID, candidates) })
-	}
-}
-
 // checkStalls asks the first replica of a silent chain in the background which replicas its stalled requests wait for,
 // and avoids these.
 func (r *Relay) checkStalls(first *mangoreplica.Replica, requestID string) {
-	if !r.stallChecks.allow(first.Incarnation(), time.Now()) {
-		return
-	}
 	r.enqueueCheck(func(ctx context.Context) {
 		queryCtx, cancel := context.WithTimeout(ctx, queryTimeout)
 		defer cancel()
 		stalls, err := r.prober.Stalled(queryCtx, first)
+		r.chainChecks.countReport(err, len(stalls))
 		if err != nil {
 			r.logger.WithField("replica", first.ID).WithField("request", requestID).WithError(err).Warn("failed to read the stalled requests of a replica")
-			r.connectOrAvoid(ctx, first, requestID, nil)
+			r.connectOrAvoid(ctx, first, requestID, nil, whySilent)
 			return
 		}
 		fleet := r.state.View().Fleet
@@ -75,11 +66,15 @@
 	if !isNew {
 		return end
 	}
+	why := whyBroken
+	if requestID == "" {
+		why = whyReported
+	}
 	check := func(ctx context.Context) {
 		defer close(end)
 		sleep(ctx, delay)
 		r.connectionChecks.start(replica.Incarnation(), time.Now())
-		r.connectOrAvoid(ctx, replica, requestID, r.crashCandidates(replica))
+		r.connectOrAvoid(ctx, replica, requestID, r.crashCandidates(replica), why)
 	}
 	if !r.enqueueCheck(check) {
 		r.connectionChecks.start(replica.Incarnation(), time.Now())
@@ -114,7 +109,7 @@
 		entry := r.logger.WithFields(logrus.Fields{"event": "replica_asked", "replica": replica.ID, "address": replica.Address, "request": requestID})
 		if err != nil {
 			entry.WithError(err).Warn("failed to read the health of a replica")
-			r.connectOrAvoid(ctx, replica, requestID, candidates)
+			r.connectOrAvoid(ctx, replica, requestID, candidates, whyRefused)
 			return
 		}
 		entry.WithField("health", health.String()).Info("read the health of a replica")
@@ -126,8 +121,11 @@
 
 // connectOrAvoid connects to a replica. If that fails, it avoids the replica and wakes the requests in flight on it. It
 // reports a crash if the process has ended, or if no other replica in the data centre is unreachable.
-func (r *Relay) connectOrAvoid(ctx context.Context, replica *mangoreplica.Replica, requestID string, candidates []mangocrash.InFlight) {
+func (r *Relay) connectOrAvoid(ctx context.Context, replica *mangoreplica.Replica, requestID string, candidates []mangocrash.InFlight, why string) {
 	err := r.dialer.Reach(ctx, replica.Address, connectCheckTimeout)
+	if ctx.Err() == nil {
+		r.chainChecks.observe(why, err)
+	}
 	if err == nil {
 		r.markReachable(replica, requestID)
 		return
@@ -137,13 +135,16 @@
 	}
 	cause := connectErrorCause(err)
 	r.avoid(replica, cause, holdLost, requestID)
-	switch {
-	case cause == mangoreplica.CauseEnded:
+	if cause == mangoreplica.CauseEnded {
 		r.reportCrash(replica, candidates)
-	case !r.dataCentreUnreachable(ctx, replica):
-		r.reportCrash(replica, withoutParts(candidates))
+		r.inFlight.wakeAll(replica.Incarnation())
+		return
 	}
+	// The candidates are known, so the requests need not wait for the checks of other replicas.
 	r.inFlight.wakeAll(replica.Incarnation())
+	if !r.dataCentreUnreachable(ctx, replica) {
+		r.reportCrash(replica, withoutParts(candidates))
+	}
 }
 
 // dataCentreUnreachable reports whether another replica of the service in the same data centre is unreachable as well.
@@ -173,12 +174,10 @@
 	}
 }
 
-// MarkLost makes the requests in flight on a replica look again whether it is lost, after a hub has found that it is. If its
-// process has ended, they are reported as those that may have crashed it. It never blocks.
+// MarkLost wakes the requests in flight on a replica that a hub found lost, and reports them as those that may have crashed it. It
+// never blocks.
 func (r *Relay) MarkLost(replica *mangoreplica.Replica) {
-	if r.health.Outages(time.Now())[replica.Incarnation()].Cause == mangoreplica.CauseEnded {
-		r.reportCrash(replica, r.crashCandidates(replica))
-	}
+	r.reportFoundLost(replica, r.health.Outages(time.Now())[replica.Incarnation()].Cause)
 	r.inFlight.wakeAll(replica.Incarnation())
 }
 
--- a/internal/mangorelay/crash_test.go
+++ b/internal/mangorelay/crash_test.go
@@ -89,3 +89,49 @@
 		})
 	}
 }
+
+// unreachableDialer fails as connections to lost machines do.
+type unreachableDialer struct{ Exchanger }
+
+func (unreachableDialer) Reach(context.Context, string, time.Duration) error {
+	return syscall.ETIMEDOUT
+}
+
+// observedState is a State that calls a function before each view.
+type observedState struct {
+	fixedState
+	viewed func()
+}
+
+func (s observedState) View() *mangostate.View {
+	s.viewed()
+	return s.fixedState.View()
+}
+
+// crashNotifier is a PeerNotifier that calls a function for each report of a crash.
+type crashNotifier struct {
+	noPeerNotifier
+	reported func()
+}
+
+func (n crashNotifier) ReportCrash() { n.reported() }
+
+// Guards against streams that wait for the checks of other replicas although the loss of theirs is known, and against a crash
+// that is not reported because they have left.
+func TestLossWakesBeforeOtherChecks(t *testing.T) {
+	is := is.New(t)
+	replica := &mangoreplica.Replica{ID: "r", Service: "s", DataCentre: "a", Address: "127.0.0.1:1"}
+	var events []string
+	state := observedState{fixedState{&mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{replica})}}, func() { events = append(events, "other replicas") }}
+	r := New("a", state, nil, unreachableDialer{}, mangoreplica.NewHealthTracker(), mangobudget.New(mangobudget.Limit{}), mangocrash.New("one"),
+		WithLogger(quietLogger()), WithPeerNotifier(crashNotifier{reported: func() { events = append(events, "report") }}))
+	f := &inFlightRequest{identity: mangocrash.Request{Fingerprint: "stream"}}
+	var remove func()
+	f.wake = func() {
+		events = append(events, "wake")
+		go remove()
+	}
+	remove = r.inFlight.add(f, []mangoreplica.Incarnation{replica.Incarnation()})
+	r.connectOrAvoid(t.Context(), replica, "q", []mangocrash.InFlight{{Request: f.identity}}, whySilent)
+	is.Equal(events, []string{"wake", "other replicas", "report"})
+}
--- a/internal/mangorelay/events.go
+++ b/internal/mangorelay/events.go
@@ -18,19 +18,27 @@
 	count int
 }
 
-// maxEventBytes bounds an event; a longer one is no event of a sound replica.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes bounds an event; a longer one is no event of a sound replica.
+	maxEventBytes = 256 << 10
+	// maxEventEnd is the length of the longest end of an event.
+	maxEventEnd = len("\r\n\r\n")
+)
 
 // oversized reports whether the event that is being collected is too long.
 func (b *eventBuffer) oversized() bool { return len(b.pending) > maxEventBytes }
 
 // add appends bytes and returns the whole events collected so far; they are valid until the next call.
 func (b *eventBuffer) add(data []byte) []byte {
+	// The pending bytes have been searched before, and only an end that is divided between two reads can begin in them. Searching them
+	// with each read would take time in proportion to the square of the length of an event.
+	searched := max(0, len(b.pending)-(maxEventEnd-1))
 	b.pending = append(b.pending, data...)
-	end := eventEnd(b.pending)
+	end := eventEnd(b.pending[searched:])
 	if end == 0 {
 		return nil
 	}
+	end += searched
 	whole := b.pending[:end]
 	b.trackIDs(whole)
 	rest := b.pending[end:]
--- a/internal/mangorelay/inflight.go
+++ b/internal/mangorelay/inflight.go
@@ -25,6 +25,8 @@
 	sentAt time.Time
 	// firstEventAt is when the first event of this send came, in nanoseconds of Unix time; 0 if none has.
 	firstEventAt atomic.Int64
+	// lastEventAt is when the last event came that a read waited for, in nanoseconds of Unix time.
+	lastEventAt atomic.Int64
 	// lostAt is when the send was lost, in nanoseconds of Unix time; 0 if it was not.
 	lostAt atomic.Int64
 	// wake makes the request check again whether its replicas are alive.
@@ -57,13 +59,19 @@
 type inFlightIndex struct {
 	mu        sync.Mutex
 	byReplica map[mangoreplica.Incarnation]map[*inFlightRequest]struct{}
-	// lost has the requests that were lost on a replica within lostRetention, the oldest first.
-	lost map[mangoreplica.Incarnation][]*inFlightRequest
+	// lost has the requests that were lost on a replica, or left it on a changed path, within lostRetention, the oldest first.
+	lost map[mangoreplica.Incarnation][]lostRequest
+}
+
+// lostRequest is a request that is no longer in flight on a replica, with the time of its loss there.
+type lostRequest struct {
+	request *inFlightRequest
+	at      time.Time
 }
 
 func newInFlightIndex() *inFlightIndex {
 	return &inFlightIndex{
-		byReplica: map[mangoreplica.Incarnation]map[*inFlightRequest]struct{}{}, lost: map[mangoreplica.Incarnation][]*inFlightRequest{},
+		byReplica: map[mangoreplica.Incarnation]map[*inFlightRequest]struct{}{}, lost: map[mangoreplica.Incarnation][]lostRequest{},
 	}
 }
 
@@ -71,32 +79,62 @@
 func (ix *inFlightIndex) add(f *inFlightRequest, replicas []mangoreplica.Incarnation) func() {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
+	ix.insert(f, replicas)
+	return func() { ix.remove(f, replicas, time.Now()) }
+}
+
+// remove ends the record of a request on replicas. A request that was lost stays a suspect there for lostRetention.
+func (ix *inFlightIndex) remove(f *inFlightRequest, replicas []mangoreplica.Incarnation, now time.Time) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	for _, r := range replicas {
+		ix.drop(f, r)
+		if at := f.lostAt.Load(); at != 0 {
+			ix.lost[r] = append(ix.lost[r], lostRequest{request: f, at: time.Unix(0, at)})
+		}
+	}
+	ix.pruneLost(now)
+}
+
+// move records a request on the replicas of its changed path. On a replica that it left it stays a suspect for lostRetention:
+// it left because that replica seemed to be lost, and if that is found to be a crash, it was in flight there. The returned
+// function removes it.
+func (ix *inFlightIndex) move(f *inFlightRequest, from, to []mangoreplica.Incarnation, now time.Time) func() {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	ix.insert(f, to)
+	for _, r := range from {
+		if !slices.Contains(to, r) {
+			ix.drop(f, r)
+			ix.lost[r] = append(ix.lost[r], lostRequest{request: f, at: now})
+		}
+	}
+	ix.pruneLost(now)
+	return func() { ix.remove(f, to, time.Now()) }
+}
+
+// insert adds a request to replicas. The caller holds ix.mu.
+func (ix *inFlightIndex) insert(f *inFlightRequest, replicas []mangoreplica.Incarnation) {
 	for _, r := range replicas {
 		if ix.byReplica[r] == nil {
 			ix.byReplica[r] = map[*inFlightRequest]struct{}{}
 		}
 		ix.byReplica[r][f] = struct{}{}
 	}
-	return func() {
-		ix.mu.Lock()
-		defer ix.mu.Unlock()
-		for _, r := range replicas {
-			delete(ix.byReplica[r], f)
-			if len(ix.byReplica[r]) == 0 {
-				delete(ix.byReplica, r)
-			}
-			if f.lostAt.Load() != 0 {
-				ix.lost[r] = append(ix.lost[r], f)
-			}
-		}
-		ix.pruneLost(time.Now())
+}
+
+// drop takes a request from a replica. The caller holds ix.mu.
+func (ix *inFlightIndex) drop(f *inFlightRequest, r mangoreplica.Incarnation) {
+	delete(ix.byReplica[r], f)
+	if len(ix.byReplica[r]) == 0 {
+		delete(ix.byReplica, r)
 	}
 }
 
 // pruneLost drops the requests that were lost more than lostRetention ago. The caller holds ix.mu.
 func (ix *inFlightIndex) pruneLost(now time.Time) {
 	for r, list := range ix.lost {
-		kept := slices.DeleteFunc(list, func(f *inFlightRequest) bool { return now.Sub(time.Unix(0, f.lostAt.Load())) > lostRetention })
+		kept := slices.DeleteFunc(list, func(l lostRequest) bool { return now.Sub(l.at) > lostRetention })
 		if ix.lost[r] = kept; len(kept) == 0 {
 			delete(ix.lost, r)
 		}
@@ -112,8 +150,8 @@
 	for f := range ix.byReplica[r] {
 		list = append(list, f.candidate(r, now))
 	}
-	for _, f := range ix.lost[r] {
-		list = append(list, f.candidate(r, now))
+	for _, l := range ix.lost[r] {
+		list = append(list, l.request.candidate(r, now))
 	}
 	// Of several sends with the same fingerprint the one with parts and the latest send counts.
 	slices.SortFunc(list, func(a, b mangocrash.InFlight) int {
@@ -143,3 +181,17 @@
 		}
 	}
 }
+
+// wakeWhere wakes all requests in flight on replicas whose ids the function accepts.
+func (ix *inFlightIndex) wakeWhere(accepts func(id string) bool) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	for r, requests := range ix.byReplica {
+		if !accepts(r.ID) {
+			continue
+		}
+		for f := range requests {
+			f.wake()
+		}
+	}
+}
--- a/internal/mangorelay/log.go
+++ b/internal/mangorelay/log.go
@@ -13,14 +13,21 @@
 // logSend counts and logs one send: the target that was chosen and the result.
 func (c *call) logSend(t target, result sendResult) {
 	c.relay.observer.Send(c.serviceName, result.String())
+	if t.slotUse > 0 {
+		c.relay.observer.FirstStage(c.serviceName, slotUseName(t.slotUse))
+	}
+	c.countDataCentre(t)
 	entry := c.relay.logger.WithFields(logrus.Fields{
 		"event": "request_sent", "request": c.request.ID, "send": c.sends, "runs": len(c.mayHaveRunOn), "replica": t.first.ID,
-		"chain": strings.Join(t.replicaIDs, ">"), "data_centre": t.dataCentre, "cost_us": t.cost.Microseconds(), "pressure": t.pressure,
+		"chain": strings.Join(t.replicaIDs, ">"), "data_centre": t.dataCentre, "cost_us": t.cost.Microseconds(), "pressure": t.pressure, "slot_use": t.slotUse,
 		"result": result.String(), "since_ms": time.Since(c.request.ArrivedAt).Milliseconds(), "last_event": c.events.lastID,
 		"budget_left": int(c.relay.budget.Remaining(c.serviceName, time.Now())), "revision": mangorevision.Text(c.view.Revision),
 		"answered": c.answerStatus, "fault": c.refusedByReplica, "first_ms": c.sendFirstEventDelay.Milliseconds(), "silent_ms": c.silence().Milliseconds(),
 		"parts": strings.Join(c.request.PromptParts, ","), "suspicion": c.suspicion,
 	})
+	if c.preferred != "" {
+		entry = entry.WithFields(logrus.Fields{"preferred": c.preferred, "shares": c.sharesText()})
+	}
 	if result == resultDelivered {
 		entry.Info("request sent and answered")
 		return
@@ -28,6 +35,19 @@
 	entry.Warn("request sent without a final answer")
 }
 
+// slotUseName returns the name in metrics of a share of slots in use: "Full" if a request has to wait, "Half" from half of the slots on,
+// from where redundant replicas become first stages, else "Free".
+func slotUseName(share float64) string {
+	switch {
+	case share > 1:
+		return "Full"
+	case share >= 0.5:
+		return "Half"
+	default:
+		return "Free"
+	}
+}
+
 // silence returns the time since the last event, or since the last send if that came later.
 func (c *call) silence() time.Duration {
 	if c.lastEventAt.Before(c.sendStartedAt) {
@@ -66,6 +86,7 @@
 		version = c.view.Table.Version()
 	}
 	c.relay.observer.Request(route, kind, c.outcome, c.status, took)
+	c.countRankedStream(whole)
 	if c.outcome == resultDelivered.String() || c.outcome == resultExpired.String() {
 		c.relay.durations.Record(route, took)
 	}
@@ -74,7 +95,7 @@
 		"customer": c.customer.Name, "service": c.serviceName, "status": c.status, "outcome": c.outcome, "whole": whole,
 		"sends": c.sends, "runs": len(c.mayHaveRunOn), "first_ms": c.firstEventDelay.Milliseconds(), "gap_ms": c.longestGap.Milliseconds(),
 		"took_ms": took.Milliseconds(),
-	}).WithFields(c.stopTimes(took))
+	}).WithFields(c.stopTimes(took)).WithFields(c.rankedStreamFields(whole))
 	if c.outcome == outcomeNoUpstream {
 		entry = entry.WithField("covered", strings.Join(c.coveredDataCentres(), ","))
 	}
--- a/internal/mangorelay/notice.go
+++ b/internal/mangorelay/notice.go
@@ -36,6 +36,11 @@
 		} else {
 			recordLimit(replica, n.RateLimit, now, limiter, peers, entry)
 		}
+		if unknown, many := health.RecordLoad(replica.ID, n.Load, now); many {
+			entry.WithFields(logrus.Fields{
+				"event": "load_reported", "running": n.Load.Running, "waiting": n.Load.Waiting, "slots": n.Load.Slots, "unknown": unknown,
+			}).Info("replica reports many requests that no daemon is known to have sent")
+		}
 		if health.Pause(i, n.RetryAfter, now) {
 			entry.WithFields(logrus.Fields{"event": "replica_paused", "pause_ms": min(n.RetryAfter, mangoreplica.MaxRetryAfter).Milliseconds()}).
 				Info("replica wants no requests for a time")
--- a/internal/mangorelay/overload.go
+++ b/internal/mangorelay/overload.go
@@ -16,9 +16,6 @@
 	// already, but leave if they wait for four times the target.
 	shedSomeReturningFrom = 2.0
 	shedAllReturningFrom  = 3.2
-	// returningTimeoutShare is the share of the route's timeout below which a caller's timeout shows that it was refused
-	// before and has used up a part of its time.
-	returningTimeoutShare = 0.95
 	// shedRetryAfterMin and shedRetryAfterSpread are the fixed and the random part of the Retry-After value of such
 	// refusals; the random part spreads the callers of a burst.
 	shedRetryAfterMin    = time.Second
@@ -28,20 +25,33 @@
 // shouldShed reports whether a request is refused because its first event would come too late. The share of requests that
 // are refused grows with the wait, so that daemons that see the same queue do not all stop and start at once.
 func (c *call) shouldShed(t target) bool {
-	if c.route.Kind != mangoroute.Stream || len(t.stages) == 0 || c.route.LatencyTarget <= 0 {
+	if !c.hasWaitLimit(t) {
 		return false
 	}
-	from, all := shedSomeFrom, shedAllFrom
-	if c.request.CallerTimeout > 0 && c.route.Timeout > 0 && float64(c.request.CallerTimeout) < returningTimeoutShare*float64(c.route.Timeout) {
-		from, all = shedSomeReturningFrom, shedAllReturningFrom
-	}
-	wait := float64(c.relay.delays.Estimate(c.serviceName, t.dataCentre, time.Now())) / float64(c.route.LatencyTarget)
+	wait, from, all := c.waitLimits(t)
 	if wait >= slowFirstEventShare {
 		c.relay.slowReplicas.ReportSlow(c.serviceName, t.dataCentre)
 	}
 	return wait > from+c.relay.random()*(all-from)
 }
 
+// hasWaitLimit reports whether a request can be refused because of the wait at its target.
+func (c *call) hasWaitLimit(t target) bool {
+	return c.route.Kind == mangoroute.Stream && len(t.stages) > 0 && c.route.LatencyTarget > 0
+}
+
+// waitLimits returns the estimated wait for a first event at a target, and the waits from which some and from which all requests
+// are refused, in units of the route's target.
+func (c *call) waitLimits(t target) (wait, from, all float64) {
+	from, all = shedSomeFrom, shedAllFrom
+	if c.isReturning() {
+		from, all = shedSomeReturningFrom, shedAllReturningFrom
+	}
+	factor := c.localWaitFactor()
+	wait = float64(c.relay.delays.Estimate(c.serviceName, t.dataCentre, time.Now())) / float64(c.route.LatencyTarget)
+	return wait, from * factor, all * factor
+}
+
 // shedRetryAfter returns the time after which a refused caller is to try again.
 func (c *call) shedRetryAfter() time.Duration {
 	return shedRetryAfterMin + time.Duration(c.relay.random()*float64(shedRetryAfterSpread))
@@ -50,10 +60,19 @@
 // trackFirstEventWait measures how long a send waits for its first event, until that event or until the returned function
 // is called.
 func (c *call) trackFirstEventWait(t target, now time.Time) func() {
-	c.firstEventWait = nil
+	c.firstEventWait, c.progress = nil, nil
 	if c.started || c.route.Kind != mangoroute.Stream || len(t.stages) == 0 {
 		return func() {}
 	}
 	c.firstEventWait = c.relay.delays.Begin(c.serviceName, t.dataCentre, now)
-	return c.firstEventWait.End
+	wait := c.firstEventWait
+	if !c.hasRanks() {
+		return wait.End
+	}
+	progress := c.relay.demand.Begin(c.serviceName, t.dataCentre, c.work(), now)
+	c.progress = progress
+	return func() {
+		wait.End()
+		progress.End(time.Now())
+	}
 }
--- a/internal/mangorelay/relay.go
+++ b/internal/mangorelay/relay.go
@@ -10,12 +10,14 @@
 	"github.com/sirupsen/logrus"
 
 	"mangopath.org/mangopath/internal/mangobudget"
+	"mangopath.org/mangopath/internal/mangocapacity"
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangodelay"
 	"mangopath.org/mangopath/internal/mangoduration"
 	"mangopath.org/mangopath/internal/mangolimit"
 	"mangopath.org/mangopath/internal/mangomemory"
+	"mangopath.org/mangopath/internal/mangorecovery"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
 )
@@ -87,19 +89,37 @@
 	FirstEvent(route string, took time.Duration)
 	Send(service, result string)
 	Retry(service, reason string)
+	// PathChange counts an attempt to replace lost replicas in the chain of a running request, by its outcome.
+	PathChange(service, outcome string)
+	// Restart counts a stream that is sent anew after a loss; started says that its caller has a part of the answer.
+	Restart(service string, started bool)
+	// FirstStage counts a request that is sent to the first stage of a chain, by the use of its slots: "Free", "Half" or "Full".
+	FirstStage(service, slots string)
+	// Admission counts a decision on a new stream while its service has several ranks, by the two parts of its rank.
+	Admission(priority, routePriority int, result string)
+	// RankedStream counts the end of such a stream, by the two parts of its rank. caller is "New" or "Returning", size "Usual" or "Large".
+	RankedStream(priority, routePriority int, caller, size, result string)
+	// Capacity sets the free memory in tokens of the replicas of a service in a data centre, and the memory in
+	// tokens that the demand of the daemons there would take.
+	Capacity(service, dataCentre string, room, demand float64)
+	// DataCentre counts the choice of a data centre for a request: Local, Remote or Other.
+	DataCentre(service, result string)
 }
 
 // Relay serves requests of callers. Its methods are safe for concurrent use.
 type Relay struct {
-	state           State
-	codec           Codec
-	dialer          Exchanger
+	state  State
+	codec  Codec
+	dialer Exchanger
+	// kept has the connections that are kept between requests; nil if there are none.
+	kept            KeptExchanger
 	prober          Prober
 	peers           PeerNotifier
 	slowReplicas    SlowReplicaFinder
 	health          *mangoreplica.HealthTracker
 	budget          *mangobudget.Budget
 	limiter         *mangolimit.Limiter
+	demand          *mangocapacity.Tracker
 	crashes         *mangocrash.CrashTracker
 	observer        Observer
 	logger          logrus.FieldLogger
@@ -111,12 +131,16 @@
 	handleNotice    NoticeHandler
 	inFlight        *inFlightIndex
 	running         *runningCalls
-	// These limit the checks of connections, of stalled requests, of whole chains and of health.
+	// These limit the checks of connections, of stalled requests and of health.
 	connectionChecks *checkLimiter
 	stallChecks      *checkLimiter
-	chainChecks      *checkLimiter
 	healthChecks     *checkLimiter
+	chainChecks      *chainChecks
+	links            LinkWatcher
 	delays           *mangodelay.Estimator
+	// repairs changes the paths of running requests, and restarts orders the streams that are sent anew after a loss.
+	repairs  *pathRepairer
+	restarts *mangorecovery.Queue
 	// pendingChecks are checks of replicas that Run has yet to start.
 	pendingChecks chan func(ctx context.Context)
 }
@@ -142,6 +166,10 @@
 // WithLimiter sets the limits of replicas, which other parts of the daemon share. By default the relay has its own.
 func WithLimiter(l *mangolimit.Limiter) Option { return func(r *Relay) { r.limiter = l } }
 
+// WithDemand sets the tracker of demand, which other parts of the daemon share. By default the relay has its own, which never
+// learns of other daemons.
+func WithDemand(t *mangocapacity.Tracker) Option { return func(r *Relay) { r.demand = t } }
+
 // WithRandom replaces the source of random numbers in [0, 1).
 func WithRandom(f func() float64) Option { return func(r *Relay) { r.random = f } }
 
@@ -160,10 +188,11 @@
 	crashes *mangocrash.CrashTracker, opts ...Option,
 ) *Relay {
 	r := &Relay{
-		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), crashes: crashes, localDataCentre: dataCentre,
+		state: state, codec: codec, dialer: dialer, health: health, budget: budget, limiter: mangolimit.New(health), demand: mangocapacity.NewTracker(), crashes: crashes, localDataCentre: dataCentre,
 		prober: noProber{}, peers: noPeerNotifier{}, slowReplicas: noSlowReplicaFinder{}, observer: noObserver{}, logger: logrus.StandardLogger(), random: rand.Float64,
-		shutdown: noShutdown{}, durations: mangoduration.New(), memory: mangomemory.New(defaultMemory), inFlight: newInFlightIndex(), running: newRunningCalls(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(checkInterval),
-		chainChecks: newCheckLimiter(checkInterval), healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
+		shutdown: noShutdown{}, durations: mangoduration.New(), memory: mangomemory.New(defaultMemory), inFlight: newInFlightIndex(), running: newRunningCalls(), connectionChecks: newCheckLimiter(checkInterval), stallChecks: newCheckLimiter(stallCheckInterval),
+		chainChecks: newChainChecks(), links: noLinkWatcher{}, healthChecks: newCheckLimiter(healthCheckInterval), delays: mangodelay.New(),
+		repairs: newPathRepairer(), restarts: mangorecovery.NewQueue(),
 		pendingChecks: make(chan func(ctx context.Context), maxPendingChecks),
 	}
 	for _, o := range opts {
@@ -256,3 +285,17 @@
 func (noObserver) Send(string, string) {}
 
 func (noObserver) Retry(string, string) {}
+
+func (noObserver) PathChange(string, string) {}
+
+func (noObserver) Restart(string, bool) {}
+
+func (noObserver) FirstStage(string, string) {}
+
+func (noObserver) Admission(int, int, string) {}
+
+func (noObserver) RankedStream(int, int, string, string, string) {}
+
+func (noObserver) Capacity(string, string, float64, float64) {}
+
+func (noObserver) DataCentre(string, string) {}
--- a/internal/mangorelay/request.go
+++ b/internal/mangorelay/request.go
@@ -29,6 +29,8 @@
 	// request to a model; 0 if it did not.
 	PromptTokens int
 	AnswerTokens int
+	// AnswerHint is the caller's estimate of the number of tokens of the answer; 0 if it has none.
+	AnswerHint int
 	// PromptParts has the ids of the parts of the prompt that other requests may share, in their order.
 	PromptParts []string
 	// LastEventID is the id of the last event of the stream that the caller has received; Resumes says that it has any.
@@ -64,10 +66,6 @@
 	NotRun bool
 	// FaultAddress is the address of the replica because of which the request was refused.
 	FaultAddress string
-	// Busy is the number of requests that run or wait on the replica, and Slots how many it runs at once; Slots is 0 if
-	// the replica did not say.
-	Busy  int
-	Slots int
 	// Notice is what the replica says about itself.
 	Notice mangoreplica.Notice
 }
--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -44,31 +44,38 @@
 		return resultLost
 	}
 	startedAt := time.Now()
-	c.sendStartedAt, c.sendFirstEventDelay = startedAt, 0
+	c.sendStartedAt, c.sendFirstEventDelay, c.sentTo = startedAt, 0, t.first
+	if c.started {
+		c.gaps.restart()
+	}
 	c.suspicion = c.relay.crashes.Suspicion(c.suspectIdentity(), startedAt)
 	l := &silenceLimiter{call: c, target: t}
-	wait := mangoconn.NewReadWaiter(l.remainingWait)
+	kept, wait := newKeptLimiter(l)
 	c.relay.limiter.CountSend(t.first.Incarnation(), startedAt)
-	defer c.trackInFlight(t, func() {
+	tracking := c.trackInFlight(t, func() {
 		l.replicaLost.Store(true)
 		wait.Wake()
-	})()
+	})
+	defer tracking.end()
+	defer l.enableRepair(deadlineCtx, wait, tracking.move)()
 	defer c.trackFirstEventWait(t, startedAt)()
-	response, err := c.relay.dialer.Exchange(deadlineCtx, t.first.Address, request, connectTimeout, wait)
+	response, err := c.exchange(deadlineCtx, t, request, wait, kept)
 	if err != nil {
 		return c.handleExchangeError(callerCtx, deadlineCtx, t, err)
 	}
 	defer response.Close()
 	c.sendsArrived++
 	answer := c.relay.codec.Decode(response.Response)
-	c.answerStatus = answer.Status
-	if answer.Slots > 0 {
-		c.relay.health.RecordLoad(t.first.ID, answer.Busy, answer.Slots, time.Now())
+	c.relay.links.EventPassed(t.dataCentre)
+	if response.ConnectTime > 0 {
+		c.relay.links.Connected(t.dataCentre, response.ConnectTime)
 	}
+	c.answerStatus = answer.Status
 	c.relay.handleNotice(t.first, answer.Notice, c.request.ID)
+	c.allowReuse(response, answer)
 	switch {
 	case answer.NotRun && c.isRefusalOfThis(answer):
-		return c.handleRefusal(t, answer, time.Since(startedAt))
+		return c.handleRefusal(t, answer, time.Since(c.sendStartedAt))
 	case !c.isGenuine(answer):
 		c.mayHaveRunOn[t.first.ID] = true
 		c.failedReplicas[t.first.ID] = true
@@ -107,12 +114,9 @@
 // upstreamRequest returns the request as it is sent to a target.
 func (c *call) upstreamRequest(t target) UpstreamRequest {
 	u := UpstreamRequest{
-		Request: c.request, Replica: t.first, Stages: t.stages, Customer: c.customer.Name, Priority: c.route.Priority,
+		Request: c.request, Replica: t.first, Stages: t.stages, Customer: c.customer.Name, Priority: c.priorityClass(),
 		LastEventID: c.events.lastID, Resumes: c.events.hasLastID,
 	}
-	if c.customer.HasPriority {
-		u.Priority = c.customer.Priority
-	}
 	if c.started {
 		// A caller that has a part of its answer is served before those that have none.
 		u.Priority = 0
@@ -121,29 +125,11 @@
 	return u
 }
 
-// trackInFlight counts the request as in flight on the replicas of a target until the returned function is called.
-// Meanwhile wake is called when one of these replicas is found lost.
-func (c *call) trackInFlight(t target, wake func()) func() {
-	var release func()
-	if len(t.stages) > 0 {
-		shares := make(map[string]float64, len(t.stages))
-		for _, s := range t.stages {
-			shares[s.Replica.ID] = s.Share()
-		}
-		release = c.relay.health.BeginShares(c.estimateTokens(), shares)
-	} else {
-		release = c.relay.health.BeginRequest(0, t.replicaIDs...)
-	}
-	c.inFlight = &inFlightRequest{identity: c.suspectIdentity(), begunBefore: c.begunSafely, first: t.first.Incarnation(), sentAt: c.sendStartedAt, wake: wake}
-	remove := c.relay.inFlight.add(c.inFlight, t.incarnations())
-	return func() {
-		release()
-		remove()
-	}
-}
-
 // handleExchangeError handles the failure of a send before the head of an answer arrived.
 func (c *call) handleExchangeError(callerCtx, deadlineCtx context.Context, t target, err error) sendResult {
+	if lost := (*keptLossError)(nil); errors.As(err, &lost) {
+		return c.handleKeptLoss(callerCtx, deadlineCtx, t)
+	}
 	kind := mangoconn.KindOf(deadlineCtx, err)
 	if kind != mangoconn.KindUnsent {
 		c.sendsArrived++
--- a/internal/mangorelay/silence_test.go
+++ b/internal/mangorelay/silence_test.go
@@ -1,6 +1,7 @@
 package mangorelay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -227,3 +228,38 @@
 		})
 	}
 }
+
+// Guards against a repair on indirect evidence before the stream itself is silent, against one for a replica that only
+// misbehaves, and against a loss that is proven but waits for silence.
+func TestRepairBegins(t *testing.T) {
+	tests := []struct {
+		cause  mangoreplica.Cause
+		silent time.Duration
+		begins bool
+	}{
+		{mangoreplica.CauseEnded, 0, true},
+		{mangoreplica.CauseUnreachable, 0, true},
+		{mangoreplica.CauseReset, 0, true},
+		{mangoreplica.CauseStalled, gapSoft - 1, false},
+		{mangoreplica.CauseStalled, gapSoft, true},
+		{mangoreplica.CauseFaulty, gapSoft, false},
+		{mangoreplica.CauseStopping, gapSoft, false},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.cause, tt.silent), func(t *testing.T) {
+			is := is.New(t)
+			health := mangoreplica.NewHealthTracker()
+			c := newStreamCall(health)
+			c.started, c.service = true, &mangoroute.Service{Engine: &mangoroute.Engine{}}
+			c.relay.state = fixedState{&mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{{ID: "r", Address: "127.0.0.1:1"}, {ID: "s", Address: "127.0.0.1:2"}})}}
+			begun := 0
+			l := &silenceLimiter{call: c, target: chainTarget("r", "s"), repair: &pathRepair{launch: func(func(context.Context) repairResult) { begun++ }}}
+			health.Avoid(mangoreplica.Incarnation{ID: "s"}, tt.cause, time.Minute, time.Now())
+			l.replicaLost.Store(true)
+			is.True(l.remainingWait(tt.silent) > 0)
+			is.True(l.remainingWait(tt.silent) > 0) // one repair at a time
+			is.Equal(begun == 1, tt.begins)
+			is.True(begun <= 1)
+		})
+	}
+}
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -44,12 +44,18 @@
 	c.events.pending = nil
 	data := make([]byte, streamReadSize)
 	for {
+		readBegun := time.Now()
 		n, err := response.Body.Read(data)
 		if n > 0 {
 			before := c.events.count
 			whole := c.events.add(data[:n])
 			if c.events.count > before {
 				wait.Progress()
+				waited := c.inFlight.recordProgress(readBegun)
+				c.gaps.arrived(time.Now(), waited)
+				if waited {
+					c.relay.links.EventPassed(t.dataCentre)
+				}
 			}
 			if c.events.oversized() {
 				return c.lostOrCut(c.handleFailure(callerCtx, deadlineCtx, t, mangoconn.KindInvalid, errEventTooLarge))
@@ -115,9 +121,11 @@
 		c.sendFirstEventDelay = c.lastEventAt.Sub(c.sendStartedAt)
 		c.inFlight.firstEventAt.Store(c.lastEventAt.UnixNano())
 		c.refusalsInRow = 0
+		c.endTurn()
 		c.relay.health.ResetRefusals(t.incarnations()...)
 		if c.firstEventWait != nil {
 			c.firstEventWait.FirstEvent(c.lastEventAt)
+			c.progress.FirstEvent(c.lastEventAt)
 		}
 	}
 	if _, err := c.writer.Write(events); err != nil {
--- a/internal/mangorelay/suspicion.go
+++ b/internal/mangorelay/suspicion.go
@@ -92,6 +92,12 @@
 	return refused
 }
 
+// refusesRepair reports whether the request must not pass through further replicas. A stream that goes on while reports are
+// awaited is repaired: it has begun, and requests that crash replicas do so before that.
+func (c *call) refusesRepair() bool {
+	return c.isRefusedAsCrashing() && (!c.started || !c.refusal.Held)
+}
+
 // retryAfterSuspicion returns when a caller is to come back whose request was refused as one that may crash upstreams.
 func (c *call) retryAfterSuspicion() time.Duration {
 	if !c.refusal.Held {
--- a/internal/mangorelay/target.go
+++ b/internal/mangorelay/target.go
@@ -10,7 +10,7 @@
 )
 
 // target is where a request can be sent to: a replica of a plain service, or a chain of replicas of a split model. stages
-// is empty for plain services; cost orders targets, and pressure is the share of memory in use on the fullest stage.
+// is empty for plain services; cost orders targets, and pressure is that of a mangopipeline.Chain.
 type target struct {
 	first      *mangoreplica.Replica
 	stages     []mangopipeline.Stage
@@ -18,6 +18,8 @@
 	dataCentre string
 	cost       time.Duration
 	pressure   float64
+	// slotUse is the share of the slots of the first stage in use; 0 for plain services and entries without slots.
+	slotUse float64
 }
 
 // incarnations returns the incarnations of all replicas of a target.
@@ -39,19 +41,30 @@
 	faultPenalty = 2
 	// randomSpread bounds the random part of the cost, which spreads requests over replicas that are equally busy.
 	randomSpread = 0.05
+	// keptBonus is taken from the cost of a replica with a kept connection. It is a tenth of randomSpread, so that it decides
+	// only between replicas that cost about the same.
+	keptBonus = randomSpread / 10
+	// lastResortCost is added to the cost of a replica that is avoided or beyond a cut. It outweighs all other parts of the cost.
+	lastResortCost = 100
 )
 
 // chooseTarget returns the target for the next send of a call, or false when there is none.
 func (c *call) chooseTarget() (target, bool) {
-	view := c.relay.state.View()
-	service := c.service
-	if c.route.Pipelined && service.Split() {
-		return c.chooseChain(mangopipeline.View{
-			Replicas: view.Fleet.ByService(service.Name), Engine: service.Engine, Status: c.relay.health, LocalDataCentre: c.relay.localDataCentre,
-			Now: time.Now(),
-		})
+	replicas := c.relay.state.View().Fleet.ByService(c.serviceName)
+	if c.needsChain() {
+		return c.chooseChain(c.pipelineView(replicas))
+	}
+	return c.chooseReplica(replicas)
+}
+
+// needsChain reports whether the request goes through a chain of replicas.
+func (c *call) needsChain() bool { return c.route.Pipelined && c.service.Split() }
+
+// pipelineView returns what chains of some replicas of the service are chosen from.
+func (c *call) pipelineView(replicas []*mangoreplica.Replica) mangopipeline.View {
+	return mangopipeline.View{
+		Replicas: replicas, Engine: c.service.Engine, Status: c.relay.health, LocalDataCentre: c.relay.localDataCentre, Now: time.Now(),
 	}
-	return c.chooseReplica(view.Fleet.ByService(c.serviceName))
 }
 
 // coveredDataCentres returns the data centres whose usable replicas hold all layers of the model.
@@ -66,12 +79,50 @@
 	return slices.Sorted(maps.Keys(covered))
 }
 
-// chooseChain prefers a chain whose replicas have not run the request. A started stream resumes at a replica that may
+// chooseChain chooses among the data centres that are not cut off. One that is cut off is used only if no other one has a whole chain; if
+// the others have one that cannot take the request now, there is no target, since their capacity comes free earlier than an answer comes
+// from beyond the cut.
+func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
+	reachable := view
+	reachable.Replicas = c.withoutCutOff(view.Replicas)
+	t, ok := c.chooseReachableChain(reachable)
+	if ok || len(reachable.Replicas) == len(view.Replicas) || len(mangopipeline.CoveredDataCentres(reachable)) > 0 {
+		return t, ok
+	}
+	return c.chooseReachableChain(view)
+}
+
+// withoutCutOff returns the replicas in data centres that are not cut off.
+func (c *call) withoutCutOff(replicas []*mangoreplica.Replica) []*mangoreplica.Replica {
+	cut, found := map[string]bool{}, false
+	for _, r := range replicas {
+		if _, known := cut[r.DataCentre]; !known {
+			cut[r.DataCentre] = c.relay.links.CutOff(r.DataCentre)
+			found = found || cut[r.DataCentre]
+		}
+	}
+	if !found {
+		return replicas
+	}
+	var list []*mangoreplica.Replica
+	for _, r := range replicas {
+		if !cut[r.DataCentre] {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// chooseReachableChain prefers a chain whose replicas have not run the request. A started stream resumes at a replica that may
 // have run it, with other replicas behind it, when its attempts are used up or no other chain is possible. While other
 // replicas refuse for lack of capacity it waits for these instead: the replica that broke off is less likely to answer.
-func (c *call) chooseChain(view mangopipeline.View) (target, bool) {
+func (c *call) chooseReachableChain(view mangopipeline.View) (target, bool) {
 	again := c.attemptsExhausted()
 	chain, err := c.cheapestChain(view, again)
+	if err != nil && c.unansweredFirst != "" {
+		c.unansweredFirst = ""
+		chain, err = c.cheapestChain(view, again)
+	}
 	if err != nil && c.started && !again && len(c.refusingReplicas) == 0 {
 		chain, err = c.cheapestChain(view, true)
 	}
@@ -80,26 +131,41 @@
 	}
 	return target{
 		first: chain.Stages[0].Replica, stages: chain.Stages, replicaIDs: chain.IDs(), dataCentre: chain.DataCentre, cost: chain.Cost,
-		pressure: chain.Pressure,
+		pressure: chain.Pressure, slotUse: chain.SlotUse,
 	}, true
 }
 
 // cheapestChain returns the cheapest chain whose replicas have neither failed nor refused the request. If again is set,
 // it begins at a replica that may have run the request; otherwise none of its replicas may have run it.
 func (c *call) cheapestChain(view mangopipeline.View, again bool) (mangopipeline.Chain, error) {
-	request := mangopipeline.Request{
-		Tokens: c.estimateTokens(), Exclude: c.isExcluded, Penalty: c.dataCentrePenalty, Random: c.relay.random, CanBeFirst: c.draw.Allows,
-	}
+	request := c.pipelineRequest()
 	if again {
-		request.CanBeFirst = func(r mangoreplica.Incarnation) bool { return c.mayHaveRunOn[r.ID] && c.draw.Allows(r) }
+		request.CanBeFirst = func(r mangoreplica.Incarnation) bool {
+			return c.mayHaveRunOn[r.ID] && r.ID != c.unansweredFirst && c.draw.Allows(r)
+		}
 		request.Exclude = c.isUnusable
 	}
+	if !again && !request.Spread {
+		request.Preferred = c.preferredDataCentre(view)
+	}
 	return mangopipeline.Choose(view, request)
 }
 
+// pipelineRequest returns the properties by which a chain is chosen. They exclude replicas that are unusable for the request or may have
+// run it.
+func (c *call) pipelineRequest() mangopipeline.Request {
+	return mangopipeline.Request{
+		Tokens: c.estimateTokens(), Exclude: c.isExcluded, Penalty: c.dataCentrePenalty, Random: c.relay.random, CanBeFirst: c.draw.Allows,
+		Spread: c.restarts(), Connected: c.prefersKept,
+	}
+}
+
 // dataCentrePenalty returns what is added to the cost of a data centre: the estimated wait for a first event there, and
-// penalties for earlier failures of this request.
+// penalties for earlier failures of this request; or cutOffPenalty if it is cut off.
 func (c *call) dataCentrePenalty(dataCentre string) time.Duration {
+	if c.relay.links.CutOff(dataCentre) {
+		return cutOffPenalty
+	}
 	return c.retryPenalties[dataCentre] + c.relay.delays.Estimate(c.serviceName, dataCentre, time.Now())
 }
 
@@ -115,11 +181,25 @@
 // estimateTokens estimates the memory that a request takes, in tokens. The answer grows over the life of the request, so
 // half of it counts.
 func (c *call) estimateTokens() float64 {
+	tokens := float64(c.request.PromptTokens) + c.expectedAnswer()/2
+	if c.hasRanks() {
+		// Others are turned away by what this request seems to need.
+		return min(max(tokens, 1), maxWorkTokens)
+	}
+	return tokens
+}
+
+// expectedAnswer returns the expected number of tokens of the answer. With several ranks the caller's hint counts, but not above
+// what the caller allows at most.
+func (c *call) expectedAnswer() float64 {
 	answer := float64(c.request.AnswerTokens)
 	if e := c.service.Engine; e.MeanAnswerTokens > 0 {
 		answer = min(answer, 2*e.MeanAnswerTokens)
 	}
-	return float64(c.request.PromptTokens) + answer/2
+	if c.hasRanks() && c.request.AnswerHint > 0 {
+		answer = min(answer, float64(c.request.AnswerHint))
+	}
+	return answer
 }
 
 // chooseReplica picks the replica of a plain service with the lowest cost, which is mainly the share of its slots in use.
@@ -129,19 +209,8 @@
 	var best *mangoreplica.Replica
 	least := 0.0
 	for _, r := range replicas {
-		if r.Draining || c.isExcluded(r.ID) || !c.draw.Allows(r.Incarnation()) || c.relay.health.Leaving(r.Incarnation()) || c.relay.health.Paused(r.Incarnation(), now) {
-			continue
-		}
-		cost := c.relay.health.Utilisation(r.ID, r.Slots, now) + randomSpread*c.relay.random()
-		cost += faultPenalty * c.relay.health.FailureRate(r.Incarnation(), now)
-		if r.DataCentre != c.relay.localDataCentre {
-			cost += remotePenalty
-		}
-		if c.relay.health.Avoided(r.Incarnation(), now) {
-			// Outweighs all other parts of the cost.
-			cost += 100
-		}
-		if best == nil || cost < least {
+		cost, usable := c.replicaCost(r, now)
+		if usable && (best == nil || cost < least) {
 			best, least = r, cost
 		}
 	}
@@ -150,3 +219,22 @@
 	}
 	return target{first: best, replicaIDs: []string{best.ID}, dataCentre: best.DataCentre, cost: time.Duration(least * float64(time.Millisecond))}, true
 }
+
+// replicaCost returns the cost of a replica of a plain service, or false if the request cannot be sent to it.
+func (c *call) replicaCost(r *mangoreplica.Replica, now time.Time) (cost float64, usable bool) {
+	if r.Draining || c.isExcluded(r.ID) || !c.draw.Allows(r.Incarnation()) || c.relay.health.Leaving(r.Incarnation()) || c.relay.health.Paused(r.Incarnation(), now) {
+		return 0, false
+	}
+	cost = c.relay.health.Utilisation(r.ID, r.Slots, now) + randomSpread*c.relay.random()
+	cost += faultPenalty * c.relay.health.FailureRate(r.Incarnation(), now)
+	if r.DataCentre != c.relay.localDataCentre {
+		cost += remotePenalty
+	}
+	if c.prefersKept(r) {
+		cost -= keptBonus
+	}
+	if c.relay.health.Avoided(r.Incarnation(), now) || c.relay.links.CutOff(r.DataCentre) {
+		cost += lastResortCost
+	}
+	return cost, true
+}
--- a/internal/mangoreplica/notice.go
+++ b/internal/mangoreplica/notice.go
@@ -21,6 +21,8 @@
 	RetryAfter time.Duration
 	// RateLimit is the limit on requests that the replica named, if any.
 	RateLimit RateLimit
+	// Load is the load that the replica reports, if any.
+	Load ReportedLoad
 }
 
 // MarkLeaving records that a replica says that it is leaving. This holds for as long as its process runs: only a later start
--- a/internal/mangoreplica/tracker.go
+++ b/internal/mangoreplica/tracker.go
@@ -50,18 +50,29 @@
 	Cause   Cause
 	At      time.Time
 	Until   time.Time
+	// Checked says that a hub that monitors the replica has found it lost by a check.
+	Checked bool
 }
 
 // load is the load of a replica: the requests that this daemon has in flight there, and the load that the replica reported.
 type load struct {
 	requests int
+	// later is the part of these requests for which the replica is a later stage.
+	later int
 	// tokens is the sum of the tokens of these requests.
 	tokens float64
-	// reportedShare is the last load that the replica reported, as a share of its slots.
-	reportedShare float64
-	reportedAt    time.Time
+	// reported is the last load that the replica reported, and unknown the part of its requests that no daemon was known to have
+	// sent then.
+	reported   ReportedLoad
+	unknown    int
+	reportedAt time.Time
+	// manyAt is when unknown was last unknownShare of the slots or more.
+	manyAt time.Time
 }
 
+// own returns the load that this daemon puts on the replica.
+func (l *load) own() Load { return Load{Requests: l.requests, Tokens: l.tokens, Later: l.later} }
+
 // HealthTracker records what this daemon and its peers observed of the health and load of replicas. It is safe for
 // concurrent use.
 type HealthTracker struct {
@@ -83,6 +94,8 @@
 	othersAt time.Time
 	// daemons is the number of live daemons; 0 if it is not known.
 	daemons int
+	// meanTokens is the moving mean of the tokens of requests that began with any; 0 before the first one.
+	meanTokens float64
 }
 
 // NewHealthTracker returns a tracker without observations.
@@ -209,26 +222,30 @@
 	return current
 }
 
-// BeginRequest adds a request with a number of tokens to the load of replicas. The returned function ends the request; calls
-// after the first one have no effect.
+// BeginRequest adds a request with a number of tokens to the load of replicas, the first of which receives it. The returned
+// function ends the request; calls after the first one have no effect.
 func (h *HealthTracker) BeginRequest(tokens float64, ids ...string) func() {
-	shares := make(map[string]float64, len(ids))
-	for _, id := range ids {
+	shares, first := make(map[string]float64, len(ids)), ""
+	for i, id := range ids {
 		shares[id] = 1
+		if i == 0 {
+			first = id
+		}
 	}
-	return h.BeginShares(tokens, shares)
+	return h.BeginShares(tokens, first, shares)
 }
 
 // BeginShares is BeginRequest for a request that takes only a share of its tokens' memory on each replica, since it uses a part
-// of the layers there.
-func (h *HealthTracker) BeginShares(tokens float64, shares map[string]float64) func() {
-	h.addToLoads(1, tokens, shares)
+// of the layers there. first is the id of its first stage.
+func (h *HealthTracker) BeginShares(tokens float64, first string, shares map[string]float64) func() {
+	h.addToLoads(1, tokens, first, shares)
+	h.countTokens(tokens)
 	var once sync.Once
-	return func() { once.Do(func() { h.addToLoads(-1, -tokens, shares) }) }
+	return func() { once.Do(func() { h.addToLoads(-1, -tokens, first, shares) }) }
 }
 
 // addToLoads changes the requests in flight on replicas, and the tokens by the share of each replica.
-func (h *HealthTracker) addToLoads(requests int, tokens float64, shares map[string]float64) {
+func (h *HealthTracker) addToLoads(requests int, tokens float64, first string, shares map[string]float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, share := range shares {
@@ -238,6 +255,9 @@
 			h.loads[id] = l
 		}
 		l.requests += requests
+		if id != first {
+			l.later += requests
+		}
 		l.tokens += tokens * share
 		if l.requests <= 0 && l.reportedAt.IsZero() {
 			delete(h.loads, id)
@@ -245,36 +265,6 @@
 	}
 }
 
-// RecordLoad records the load that a replica reported with an answer: busy is the number of requests that run or wait there.
-func (h *HealthTracker) RecordLoad(id string, busy, slots int, now time.Time) {
-	if slots <= 0 {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	l := h.loads[id]
-	if l == nil {
-		l = &load{}
-		h.loads[id] = l
-	}
-	l.reportedShare, l.reportedAt = float64(busy)/float64(slots), now
-}
-
-// maxLoadReportAge is the age above which a reported load is ignored, as it says nothing about the present one.
-const maxLoadReportAge = 500 * time.Millisecond
-
-// Utilisation returns the share of a replica's slots in use: the reported share while it is fresh, but at least the share
-// that the requests of all daemons take, as far as they are known.
-func (h *HealthTracker) Utilisation(id string, slots int, now time.Time) float64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	share := float64(h.fleetLoad(id, now).Requests) / float64(max(slots, 1))
-	if l := h.loads[id]; l != nil && now.Sub(l.reportedAt) <= maxLoadReportAge {
-		return max(share, l.reportedShare)
-	}
-	return share
-}
-
 // Prune removes what is known of replicas and incarnations that are no longer in the fleet.
 func (h *HealthTracker) Prune(fleet *Fleet) {
 	h.mu.Lock()
--- a/internal/mangoroute/service.go
+++ b/internal/mangoroute/service.go
@@ -5,6 +5,8 @@
 	Name string
 	// HealthPath is the path of the replicas' health check.
 	HealthPath string
+	// MaxConnections is the number of connections from all daemons together that a replica takes; 0 if it is not stated.
+	MaxConnections int
 	// Engine describes the model of a service that is split by layers; nil for plain services.
 	Engine *Engine
 }
