Hand the seats of hubs from small hosts to large ones

Cause: a hub needs the link and the processor of a large host. When the large hosts of a data centre are cut off or lost for a moment, a small one takes a seat and kept it until its end. Change: a large host without a seat asks the hubs of its data centre for theirs, one a second; a small hub revokes its lease, and the large host takes the free seat as before. A hub that keeps its seat three times is asked again after a minute; a large host that could not take a seat that was given up for it pauses for 30 s; a small host gives up a seat each 20 s at most, and none while it does not reach the store. Counter seat_requests_total, log events seat_requested, seat_given_up, seat_kept.

--- a/internal/mangobroadcast/direct.go
+++ b/internal/mangobroadcast/direct.go
@@ -28,12 +28,14 @@
 	onResult        func(r CheckResult, from string)
 	onCheckedOutage func(r *mangoreplica.Replica)
 	onAlive         func(m mangostate.Member)
+	onSeatRequest   func(from mangostate.Member)
 }
 
 func newCheckHandlers() checkHandlers {
 	return checkHandlers{
 		onRequests: func(mangostate.Member, []mangoreplica.Incarnation) {}, onResult: func(CheckResult, string) {},
 		onCheckedOutage: func(*mangoreplica.Replica) {}, onAlive: func(mangostate.Member) {},
+		onSeatRequest: func(mangostate.Member) {},
 	}
 }
 
@@ -57,6 +59,10 @@
 // called before Run, and the function must not block.
 func (br *Broadcaster) OnAlive(f func(m mangostate.Member)) { br.checks.onAlive = f }
 
+// OnSeatRequest sets the function that is called when a larger host asks this daemon for its seat. It must be called before Run, and
+// the function must not block.
+func (br *Broadcaster) OnSeatRequest(f func(from mangostate.Member)) { br.checks.onSeatRequest = f }
+
 // directBatch has the messages to a single daemon that are sent together.
 type directBatch struct {
 	requests []mangoreplica.Incarnation
@@ -64,10 +70,12 @@
 	outages  []mangoreplica.Outage
 	// needsAnswer says that the message is sent although it may have no content: its answer shows that the daemon is alive.
 	needsAnswer bool
+	// seatWanted says that the receiver is asked for its seat.
+	seatWanted bool
 }
 
 func (b directBatch) empty() bool {
-	return len(b.requests) == 0 && len(b.results) == 0 && len(b.outages) == 0 && !b.needsAnswer
+	return len(b.requests) == 0 && len(b.results) == 0 && len(b.outages) == 0 && !b.needsAnswer && !b.seatWanted
 }
 
 // mergedWith returns the batch with a later one added.
@@ -76,12 +84,14 @@
 	b.results = appendBounded(b.results, o.results)
 	b.outages = appendBounded(b.outages, o.outages)
 	b.needsAnswer = b.needsAnswer || o.needsAnswer
+	b.seatWanted = b.seatWanted || o.seatWanted
 	return b
 }
 
 // message encodes the batch.
 func (b directBatch) message(self mangostate.Member, now time.Time) *mangomessage.ExchangeRequest {
 	m := batch{outages: b.outages}.message(self, now)
+	m.SeatWanted = b.seatWanted
 	for _, r := range b.requests {
 		m.CheckRequests = append(m.CheckRequests, &mangomessage.CheckRequest{Replica: r.ID, Born: r.Born})
 	}
@@ -117,6 +127,11 @@
 	br.enqueueDirect(to, directBatch{outages: []mangoreplica.Outage{o}})
 }
 
+// SendSeatRequest asks a hub for its seat. It never blocks.
+func (br *Broadcaster) SendSeatRequest(to mangostate.Member) {
+	br.enqueueDirect(to, directBatch{seatWanted: true})
+}
+
 // enqueueDirect adds to what the next round of messages sends to one daemon, and starts that round.
 func (br *Broadcaster) enqueueDirect(to mangostate.Member, b directBatch) {
 	br.mu.Lock()
@@ -175,20 +190,25 @@
 
 // receiveChecks passes on the requests and the results of checks in a message.
 func (br *Broadcaster) receiveChecks(request *mangomessage.ExchangeRequest, now time.Time) {
-	from := request.GetFrom()
-	br.checks.onAlive(mangostate.Member{Name: from.GetName(), DataCentre: from.GetDataCentre(), Address: from.GetAddress()})
+	from := mangostate.Member{
+		Name: request.GetFrom().GetName(), DataCentre: request.GetFrom().GetDataCentre(), Address: request.GetFrom().GetAddress(),
+	}
+	br.checks.onAlive(from)
+	if request.GetSeatWanted() {
+		br.checks.onSeatRequest(from)
+	}
 	if len(request.GetCheckRequests()) > 0 {
 		var replicas []mangoreplica.Incarnation
 		for _, r := range request.GetCheckRequests() {
 			replicas = append(replicas, mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()})
 		}
-		br.checks.onRequests(mangostate.Member{Name: from.GetName(), DataCentre: from.GetDataCentre(), Address: from.GetAddress()}, replicas)
+		br.checks.onRequests(from, replicas)
 	}
 	for _, r := range request.GetCheckResults() {
 		br.checks.onResult(CheckResult{
 			Replica: mangoreplica.Incarnation{ID: r.GetReplica(), Born: r.GetBorn()}, Reachable: r.GetReachable(),
 			At: now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
-		}, from.GetName())
+		}, from.Name)
 	}
 }
 
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -133,6 +133,7 @@
 	run("pacer", func() error { return d.slowDetector.Run(componentCtx) })
 	run("poller", func() error { return d.poller.Run(dutyCtx) })
 	run("seats", func() error { return d.seats.Run(dutyCtx) })
+	run("handover", func() error { return d.hub.handover.Run(dutyCtx) })
 	run("reader", func() error { return d.hub.reader.Run(componentCtx) })
 	run("follower", func() error { return d.hub.follower.Run(componentCtx) })
 	run("hub", func() error { return d.hub.server.Run(componentCtx) })
--- a/internal/mangoentry/provide_hub.go
+++ b/internal/mangoentry/provide_hub.go
@@ -12,6 +12,7 @@
 	"mangopath.org/mangopath/internal/mangocrash"
 	"mangopath.org/mangopath/internal/mangohub"
 	"mangopath.org/mangopath/internal/mangolimit"
+	"mangopath.org/mangopath/internal/mangometric"
 	"mangopath.org/mangopath/internal/mangopeer"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangostate"
@@ -38,6 +39,19 @@
 	return mangohub.NewFollower(self, followDialer{client}, state, mirror, seats, mangohub.WithFollowerLogger(logger))
 }
 
+// provideHandover also makes the broadcaster deliver the requests of larger hosts for this daemon's seat.
+func provideHandover(
+	self mangostate.Member, s *mangomessage.RelaySettings, seats *mangohub.Seats, state *mangostate.Controller, follower *mangohub.Follower,
+	contact *mangostate.Contact, broadcaster *mangobroadcast.Broadcaster, metrics *mangometric.RelayMetrics, logger *logrus.Logger,
+) *mangohub.Handover {
+	h := mangohub.NewHandover(
+		self, mangohub.IsLargeHost(s.GetHost().GetProcessorShare()), seats, state, follower, broadcaster, mangohub.WithStoreDown(contact.Down),
+		mangohub.WithHandoverObserver(metrics.CountSeatRequest), mangohub.WithHandoverLogger(logger),
+	)
+	broadcaster.OnSeatRequest(h.HandleRequest)
+	return h
+}
+
 func provideReader(
 	store *platform.Store, mirror *mangohub.Mirror, seats *mangohub.Seats, follower *mangohub.Follower, contact *mangostate.Contact,
 	logger *logrus.Logger,
@@ -102,10 +116,11 @@
 	follower *mangohub.Follower
 	server   *mangohub.Server
 	reporter *mangohub.Reporter
+	handover *mangohub.Handover
 }
 
 func provideHubComponents(
-	reader *mangohub.Reader, follower *mangohub.Follower, server *mangohub.Server, reporter *mangohub.Reporter,
+	reader *mangohub.Reader, follower *mangohub.Follower, server *mangohub.Server, reporter *mangohub.Reporter, handover *mangohub.Handover,
 ) *hubComponents {
-	return &hubComponents{reader: reader, follower: follower, server: server, reporter: reporter}
+	return &hubComponents{reader: reader, follower: follower, server: server, reporter: reporter, handover: handover}
 }
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -22,7 +22,7 @@
 var providers = wire.NewSet(
 	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
 	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
-	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
+	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHandover, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections,
 	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -66,7 +66,8 @@
 	monitor := provideMonitor(member, controller, relay, broadcaster, follower, checker, logger)
 	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, contact, seats, logger)
 	deputy := provideDeputy(member, mangoentryPlacementLease, controller, contact, seats, broadcaster, logger)
-	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter)
+	handover := provideHandover(member, settings, seats, controller, follower, contact, broadcaster, relayMetrics, logger)
+	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter, handover)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
 	mangoentryIngress := newIngress(relay, controller, shutdown, mangomemoryPool, logger)
 	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, checker, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, shutdown, mangomemoryPool, pool)
@@ -79,6 +80,6 @@
 var providers = wire.NewSet(
 	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
 	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
-	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
+	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHandover, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 )
--- /dev/null
+++ b/internal/mangohub/handover.go
@@ -0,0 +1,246 @@
+package mangohub
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mangopath.org/mangopath/internal/mangostate"
+)
+
+const (
+	// handoverInterval is the time between two requests of a large host for a seat.
+	handoverInterval = time.Second
+	// takeTime is the time within which a large host takes a seat that was given up for it: it learns of the change in about 50 ms and
+	// waits up to largeHostDelay.
+	takeTime = 2 * time.Second
+	// yieldTime is the time for which a daemon that gave up a seat takes none. It is longer than takeTime.
+	yieldTime = 3 * time.Second
+	// maxSeatRequests is the number of requests after which a hub that keeps its seat is asked again only after keptPause: it may be
+	// a large host itself. A request can get lost or come within minSeatTime, so there is more than one.
+	maxSeatRequests = 3
+	keptPause       = time.Minute
+	// failedPause is the time without requests after a large host did not take a seat that was given up after its request. It cannot
+	// reach the store then, and each further request would only move seats between small hosts.
+	failedPause = 30 * time.Second
+	// minSeatTime is the least time for which a small host keeps its seat, and handoverPause the least time between two seats that it
+	// gives up, so that seats do not move back and forth.
+	minSeatTime   = time.Second
+	handoverPause = 20 * time.Second
+)
+
+// Results of requests for a seat, as they appear in metrics.
+const (
+	handoverAsked   = "Asked"
+	handoverGivenUp = "GivenUp"
+	handoverKept    = "Kept"
+)
+
+// SeatRequester sends requests for a seat. It is implemented by mangobroadcast.Broadcaster.
+type SeatRequester interface {
+	// SendSeatRequest asks a hub for its seat. It never blocks.
+	SendSeatRequest(to mangostate.Member)
+}
+
+// HubLink tells which hub this daemon follows. It is implemented by Follower.
+type HubLink interface {
+	// Hub returns the hub; ok is false if this daemon follows none or hears nothing from it.
+	Hub() (m mangostate.Member, ok bool)
+}
+
+// Handover moves seats from small hosts to large ones. A small host takes a seat that no large one takes in time, as when all large hosts
+// of its data centre are cut off. Its link and its processor may be too small for the followers of a hub, so it gives the seat up once a
+// large host asks for it. Its methods are safe for concurrent use.
+type Handover struct {
+	self      mangostate.Member
+	isLarge   bool
+	seats     *Seats
+	state     State
+	link      HubLink
+	requester SeatRequester
+	// storeDown reports that this daemon does not reach the store, so that it could not give up a seat.
+	storeDown func() bool
+	observe   func(result string)
+	logger    logrus.FieldLogger
+	requests  chan mangostate.Member
+
+	// The following fields belong to the goroutine of Run.
+	asks seatAsks
+	// heldSince is when this daemon was first seen to hold its seat; zero without one. gaveUpAt is when it last gave one up.
+	heldSince, gaveUpAt time.Time
+}
+
+// HandoverOption sets a property of a Handover.
+type HandoverOption func(*Handover)
+
+// WithHandoverLogger sets the logger of requests for seats.
+func WithHandoverLogger(l logrus.FieldLogger) HandoverOption {
+	return func(h *Handover) { h.logger = l }
+}
+
+// WithHandoverObserver sets the function that counts requests for seats by their result.
+func WithHandoverObserver(f func(result string)) HandoverOption {
+	return func(h *Handover) { h.observe = f }
+}
+
+// WithStoreDown sets the function that reports that this daemon does not reach the store.
+func WithStoreDown(f func() bool) HandoverOption { return func(h *Handover) { h.storeDown = f } }
+
+// NewHandover returns the handover of the daemon self, whose host is large or small.
+func NewHandover(
+	self mangostate.Member, isLarge bool, seats *Seats, state State, link HubLink, requester SeatRequester, opts ...HandoverOption,
+) *Handover {
+	h := &Handover{
+		self: self, isLarge: isLarge, seats: seats, state: state, link: link, requester: requester, storeDown: func() bool { return false },
+		observe: func(string) {}, logger: logrus.StandardLogger(), requests: make(chan mangostate.Member, 1), asks: newSeatAsks(),
+	}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// HandleRequest takes the request of another daemon for this one's seat. It never blocks; a request is dropped while another one is
+// waiting.
+func (h *Handover) HandleRequest(from mangostate.Member) {
+	select {
+	case h.requests <- from:
+	default:
+	}
+}
+
+// Run asks for seats or gives them up until the context ends.
+func (h *Handover) Run(ctx context.Context) error {
+	tick := time.NewTicker(handoverInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			h.noteSeat(time.Now())
+			h.askForSeat(time.Now())
+		case from := <-h.requests:
+			h.noteSeat(time.Now())
+			h.answer(ctx, from, time.Now())
+		}
+	}
+}
+
+// noteSeat keeps the time since which this daemon holds its seat.
+func (h *Handover) noteSeat(now time.Time) {
+	switch held := h.seats.IsHub(); {
+	case !held:
+		h.heldSince = time.Time{}
+	case h.heldSince.IsZero():
+		h.heldSince = now
+	}
+}
+
+// askForSeat asks the next hub of the data centre for its seat if this host is large and has none.
+func (h *Handover) askForSeat(now time.Time) {
+	if _, follows := h.link.Hub(); !h.isLarge || h.seats.IsHub() || !follows {
+		h.asks.last = mangostate.Member{}
+		return
+	}
+	var hubs []mangostate.Member
+	for _, m := range h.state.View().Members {
+		if m.DataCentre == h.self.DataCentre && m.Name != h.self.Name {
+			hubs = append(hubs, m)
+		}
+	}
+	hub, ok := h.asks.next(hubs, now)
+	if !ok {
+		return
+	}
+	h.requester.SendSeatRequest(hub)
+	h.observe(handoverAsked)
+	h.logger.WithFields(logrus.Fields{"event": "seat_requested", "hub": hub.Name, "seat": hub.Seat}).
+		Info("a hub of the data centre is asked for its seat, as this host is large")
+}
+
+// answer gives up the seat if this host is small and the asking one belongs to the data centre.
+func (h *Handover) answer(ctx context.Context, from mangostate.Member, now time.Time) {
+	reason := h.reasonToKeep(from, now)
+	entry := h.logger.WithFields(logrus.Fields{"asked_by": from.Name, "reason": reason})
+	if reason != "" {
+		h.observe(handoverKept)
+		entry.WithField("event", "seat_kept").Info("this daemon keeps its seat although another one asked for it")
+		return
+	}
+	h.gaveUpAt = now
+	h.observe(handoverGivenUp)
+	entry.WithField("event", "seat_given_up").Info("this daemon gives up its seat to a larger host")
+	h.seats.GiveUp(ctx)
+}
+
+// reasonToKeep returns why a request does not make this daemon give up its seat, or "" if it does.
+func (h *Handover) reasonToKeep(from mangostate.Member, now time.Time) string {
+	switch {
+	case h.isLarge:
+		return "LargeHost"
+	case h.heldSince.IsZero():
+		return "NoSeat"
+	case from.DataCentre != h.self.DataCentre:
+		return "OtherDataCentre"
+	case now.Sub(h.heldSince) < minSeatTime:
+		return "NewSeat"
+	case !h.gaveUpAt.IsZero() && now.Sub(h.gaveUpAt) < handoverPause:
+		return "GaveUpLately"
+	case h.storeDown():
+		return "StoreDown"
+	default:
+		return ""
+	}
+}
+
+// seatAsks decides which hub a large host without a seat asks next.
+type seatAsks struct {
+	// asked has the number of requests to each hub since the last pause, and pausedUntil the time before which it is not asked again.
+	asked       map[string]int
+	pausedUntil map[string]time.Time
+	// last is the hub that was asked last, at lastAt; empty if its seat counts no more.
+	last   mangostate.Member
+	lastAt time.Time
+	// failedUntil ends the pause after a seat was given up and another daemon took it.
+	failedUntil time.Time
+}
+
+func newSeatAsks() seatAsks {
+	return seatAsks{asked: map[string]int{}, pausedUntil: map[string]time.Time{}}
+}
+
+// next returns the hub to ask now; ok is false if none is to be asked. hubs are those of the data centre.
+func (a *seatAsks) next(hubs []mangostate.Member, now time.Time) (hub mangostate.Member, ok bool) {
+	if a.last.Name != "" {
+		isHub := slices.ContainsFunc(hubs, func(m mangostate.Member) bool { return m.Name == a.last.Name })
+		switch late := now.Sub(a.lastAt) >= takeTime; {
+		case !isHub && !late:
+			// The seat was given up, and this daemon is taking it.
+			return mangostate.Member{}, false
+		case !isHub:
+			a.failedUntil, a.last = now.Add(failedPause), mangostate.Member{}
+		case late:
+			a.last = mangostate.Member{}
+		}
+	}
+	if now.Before(a.failedUntil) {
+		return mangostate.Member{}, false
+	}
+	for _, m := range hubs {
+		if now.Before(a.pausedUntil[m.Name]) || (ok && a.asked[m.Name] >= a.asked[hub.Name]) {
+			continue
+		}
+		hub, ok = m, true
+	}
+	if !ok {
+		return hub, false
+	}
+	if a.asked[hub.Name]++; a.asked[hub.Name] >= maxSeatRequests {
+		a.asked[hub.Name], a.pausedUntil[hub.Name] = 0, now.Add(keptPause)
+	}
+	a.last, a.lastAt = hub, now
+	return hub, true
+}
--- a/internal/mangohub/seat.go
+++ b/internal/mangohub/seat.go
@@ -25,12 +25,18 @@
 	Run(ctx context.Context) error
 	// Holds returns true while this daemon holds the key.
 	Holds() (fence uint64, ok bool)
+	// GiveUp gives up the key if this daemon holds it.
+	GiveUp(ctx context.Context)
 }
 
 // Seats are the seats of the hubs of a data centre, of which this daemon may hold one. Its methods are safe for concurrent
 // use.
 type Seats struct {
 	leases [mangostate.SeatsPerDataCentre]Lease
+
+	mu sync.Mutex
+	// leftUntil is the time until which free seats are left to others.
+	leftUntil time.Time
 }
 
 // NewSeats returns the seats with their leases, which newLease makes for a seat; eligible reports whether this daemon may
@@ -38,7 +44,7 @@
 func NewSeats(newLease func(seat int, eligible func() bool) Lease) *Seats {
 	s := &Seats{}
 	for i := range s.leases {
-		s.leases[i] = newLease(i, func() bool { return !s.holdsOther(i) })
+		s.leases[i] = newLease(i, func() bool { return !s.holdsOther(i) && !s.leavesToOthers(time.Now()) })
 	}
 	return s
 }
@@ -57,6 +63,25 @@
 	return false
 }
 
+// leavesToOthers reports whether this daemon has given up a seat within yieldTime.
+func (s *Seats) leavesToOthers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.leftUntil)
+}
+
+// GiveUp gives up the seat that this daemon holds, and leaves free seats to others for yieldTime.
+func (s *Seats) GiveUp(ctx context.Context) {
+	s.mu.Lock()
+	s.leftUntil = time.Now().Add(yieldTime)
+	s.mu.Unlock()
+	for _, l := range s.leases {
+		if _, ok := l.Holds(); ok {
+			l.GiveUp(ctx)
+		}
+	}
+}
+
 // Held returns the seat that this daemon holds, or false.
 func (s *Seats) Held() (int, bool) {
 	for i, l := range s.leases {
@@ -85,8 +110,11 @@
 
 // SeatDelay returns the time that a host with a share of a processor waits before it takes a free seat.
 func SeatDelay(processorShare float64) time.Duration {
-	if processorShare >= largeHostShare {
+	if IsLargeHost(processorShare) {
 		return rand.N(largeHostDelay)
 	}
 	return smallHostDelay + rand.N(smallHostJitter)
 }
+
+// IsLargeHost reports whether a host with a share of a processor is one that should hold a seat.
+func IsLargeHost(processorShare float64) bool { return processorShare >= largeHostShare }
--- a/internal/mangolease/leasedkey.go
+++ b/internal/mangolease/leasedkey.go
@@ -296,6 +296,10 @@
 	}
 }
 
+// GiveUp gives up the key if it is held, so that another daemon can take it at once. Run goes on and takes the key again when it is
+// free and this daemon is eligible.
+func (k *LeasedKey) GiveUp(ctx context.Context) { k.release(ctx) }
+
 // release revokes the lease, so that another daemon can take the key before the lease expires.
 func (k *LeasedKey) release(ctx context.Context) {
 	k.mu.Lock()
--- a/internal/mangometric/relay.go
+++ b/internal/mangometric/relay.go
@@ -27,6 +27,7 @@
 	admissions      *prometheus.CounterVec
 	rankedStreams   *prometheus.CounterVec
 	explanations    *prometheus.CounterVec
+	seatRequests    *prometheus.CounterVec
 	dataCentres     *prometheus.CounterVec
 	roomTokens      *prometheus.GaugeVec
 	demandTokens    *prometheus.GaugeVec
@@ -68,6 +69,7 @@
 		admissions:      newCounterVec("admissions_total", "Decisions on new streams of services with several ranks, by rank and result.", "rank", "route_priority", "result"),
 		rankedStreams:   newCounterVec("ranked_streams_total", "Ends of new streams of services with several ranks, by rank, caller, size and result.", "rank", "route_priority", "caller", "size", "result"),
 		explanations:    newCounterVec("explanations_total", "Queries about where a request would go, by result.", "result"),
+		seatRequests:    newCounterVec("seat_requests_total", "Requests of large hosts for the seat of a hub, by result.", "result"),
 		dataCentres:     newCounterVec("data_centre_choices_total", "New requests by whether the data centre drawn by the shares is local or remote, or was passed over.", "service", "result"),
 		roomTokens: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "mangopath", Name: "room_tokens", Help: "Free memory of the replicas of a service in a data centre, in tokens.",
@@ -77,7 +79,7 @@
 		}, []string{"service", "data_centre"}),
 	}
 	all := []prometheus.Collector{
-		m.requests, m.requestDuration, m.firstEvent, m.sends, m.repeats, m.pathChanges, m.restarts, m.layerOrders, m.storeRequests, m.checks, m.cutOffs, m.firstStages, m.admissions, m.rankedStreams, m.explanations, m.dataCentres, m.roomTokens, m.demandTokens,
+		m.requests, m.requestDuration, m.firstEvent, m.sends, m.repeats, m.pathChanges, m.restarts, m.layerOrders, m.storeRequests, m.checks, m.cutOffs, m.firstStages, m.admissions, m.rankedStreams, m.explanations, m.seatRequests, m.dataCentres, m.roomTokens, m.demandTokens,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector(),
 	}
 	for _, c := range all {
@@ -166,6 +168,11 @@
 	m.explanations.WithLabelValues(result).Inc()
 }
 
+// CountSeatRequest counts a request for the seat of a hub: Asked at the host that wants it, GivenUp or Kept at the one that holds it.
+func (m *RelayMetrics) CountSeatRequest(result string) {
+	m.seatRequests.WithLabelValues(result).Inc()
+}
+
 // Capacity sets the free memory and the demand for memory of a data centre, in tokens, as seen by the last decision.
 func (m *RelayMetrics) Capacity(service, dataCentre string, room, demand float64) {
 	m.roomTokens.WithLabelValues(service, dataCentre).Set(room)
