Let a hub that was contradicted wait for the other monitor

Cause: a host with a full link or little processor time notices connections after the 40 ms of a check although its timers are in time, so its checks found sound replicas lost, and all daemons moved their streams before the other monitor contradicted it. Change: for 10 s after the other monitor reached a replica that this hub could not reach, a hub announces a loss only if the other monitor agrees. The log of a check says whether the hub is mistrusted. Measured: TestContradictedHubWaitsForOtherMonitor, three of its cases failed before.

--- a/internal/mangocheck/checker.go
+++ b/internal/mangocheck/checker.go
@@ -282,8 +282,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	verdict, requesters := c.table.Judge(r.Incarnation(), now)
+	mistrusted := c.table.Mistrusted(now)
 	c.mu.Unlock()
-	c.log(r, result, verdict, len(requesters), took)
+	c.log(r, result, verdict, len(requesters), took, mistrusted)
 	if verdict == Sound {
 		c.onReachable(r)
 	}
@@ -294,10 +295,10 @@
 	return verdict
 }
 
-func (c *Checker) log(r *mangoreplica.Replica, result Result, verdict Verdict, requesters int, took time.Duration) {
+func (c *Checker) log(r *mangoreplica.Replica, result Result, verdict Verdict, requesters int, took time.Duration, mistrusted bool) {
 	entry := c.logger.WithFields(logrus.Fields{
 		"event": "replica_checked", "replica": r.ID, "address": r.Address, "asked_by": requesters, "reachable": result == Reachable,
-		"result": result.String(), "verdict": verdict.String(), "took_ms": took.Milliseconds(),
+		"result": result.String(), "verdict": verdict.String(), "took_ms": took.Milliseconds(), "mistrusted": mistrusted,
 	})
 	if verdict == Sound {
 		entry.Debug("a replica was checked for other daemons")
--- a/internal/mangocheck/table.go
+++ b/internal/mangocheck/table.go
@@ -23,6 +23,9 @@
 	// all.
 	cutOffMinFailures = 2
 	cutOffDivisor     = 3
+	// mistrustTime is the time for which a hub announces no loss alone after the other monitor has reached a replica that it could not
+	// reach. A host whose link is full or that gets little processor time notices connections late, although its timers are in time.
+	mistrustTime = 10 * time.Second
 	// maxConcurrent bounds the checks that a hub runs at once.
 	maxConcurrent = 32
 	// recordRetention is the time after which the record of a replica is dropped.
@@ -58,8 +61,8 @@
 	Lost
 	// Disputed means that the other monitor has reached the replica since this check began.
 	Disputed
-	// Withheld means that the loss is not announced, because this hub seems to be cut off or was short of processor time, and the
-	// other monitor has not confirmed it.
+	// Withheld means that the loss is not announced, because this hub seems to be cut off, was short of processor time or was
+	// contradicted lately, and the other monitor has not confirmed it.
 	Withheld
 )
 
@@ -89,6 +92,8 @@
 type Table struct {
 	records map[mangoreplica.Incarnation]*record
 	running int
+	// contradictedAt is when the other monitor last reached a replica that this hub could not reach; zero if it never did.
+	contradictedAt time.Time
 }
 
 // usedAt returns the time of the latest result of this hub or of the other monitor.
@@ -225,11 +230,20 @@
 	}
 	rec.due = time.Time{}
 	clear(rec.requesters)
-	if rec.verdict == Lost && rec.result != Ended && at.After(rec.startedAt) {
-		rec.verdict = Disputed
-		return Disputed
+	if rec.result != Unreachable || !at.After(rec.startedAt) || (rec.verdict != Lost && rec.verdict != Withheld) {
+		return 0
 	}
-	return 0
+	t.contradictedAt = at
+	if rec.verdict == Withheld {
+		return 0
+	}
+	rec.verdict = Disputed
+	return Disputed
+}
+
+// Mistrusted reports whether this hub was contradicted within mistrustTime, so that it announces no loss alone.
+func (t *Table) Mistrusted(now time.Time) bool {
+	return !t.contradictedAt.IsZero() && now.Sub(t.contradictedAt) < mistrustTime
 }
 
 func (t *Table) confirmedByOther(rec *record) bool {
@@ -243,6 +257,9 @@
 		return 0, nil
 	}
 	rec.verdict = t.verdict(rec, now)
+	if rec.verdict == Disputed && rec.result == Unreachable {
+		t.contradictedAt = now
+	}
 	var requesters []mangostate.Member
 	for _, m := range rec.requesters {
 		requesters = append(requesters, m)
@@ -264,7 +281,7 @@
 		return Disputed
 	case t.confirmedByOther(rec):
 		return Lost
-	case rec.result == Unknown, rec.unwitnessed, t.looksCutOff(now):
+	case rec.result == Unknown, rec.unwitnessed, t.Mistrusted(now), t.looksCutOff(now):
 		return Withheld
 	default:
 		return Lost
--- a/internal/mangocheck/table_test.go
+++ b/internal/mangocheck/table_test.go
@@ -255,3 +255,59 @@
 		})
 	}
 }
+
+// Guards against streams that are moved away from sound replicas, since a hub whose host notices connections late announces losses that
+// the other monitor would contradict a moment later, and against losses that such a hub never announces.
+func TestContradictedHubWaitsForOtherMonitor(t *testing.T) {
+	tests := []struct {
+		name string
+		// contradicted is when the other monitor reaches the replica that this hub could not reach at 0 to 40; 0 if it does not.
+		contradicted int
+		// checked is the end of the check of another replica, which fails too, and missed when the other monitor fails to reach that
+		// one; 0 if it does not.
+		checked, missed int
+		want            Verdict
+	}{
+		{"no contradiction", 0, 1500, 0, Lost},
+		{"contradicted", 30, 1500, 0, Withheld},
+		{"contradicted after the verdict", 60, 1500, 0, Withheld},
+		{"contradicted long ago", 60, 12000, 0, Lost},
+		{"contradicted, the other monitor agrees later", 60, 1500, 1530, Lost},
+		{"contradicted, the other monitor agreed before", 60, 1500, 1490, Lost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, first, second, sound := NewTable(), replica(0), replica(1), replica(2)
+			check := func(r *mangoreplica.Replica, result Result, end int) Verdict {
+				table.Request(r, requester("d"), 0, at(end-40))
+				table.Start(at(end - 40))
+				table.Finish(r.Incarnation(), result, at(end))
+				v, _ := table.Judge(r.Incarnation(), at(end+5))
+				return v
+			}
+			table.Request(first, requester("d"), 0, at(0))
+			table.Start(at(0))
+			if tt.contradicted > 0 && tt.contradicted < 40 {
+				table.RecordOther(first, true, at(tt.contradicted))
+			}
+			table.Finish(first.Incarnation(), Unreachable, at(40))
+			table.Judge(first.Incarnation(), at(45))
+			if tt.contradicted > 40 {
+				is.Equal(table.RecordOther(first, true, at(tt.contradicted)), Disputed)
+			}
+			for range 3 {
+				check(sound, Reachable, tt.checked-200)
+			}
+			if tt.missed > 0 && tt.missed < tt.checked {
+				table.RecordOther(second, false, at(tt.missed))
+			}
+			got := check(second, Unreachable, tt.checked)
+			if tt.missed > tt.checked {
+				is.Equal(got, Withheld)
+				got = table.RecordOther(second, false, at(tt.missed))
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
