Ask for seats only while the store answers, and take one seat at a time

Change: host and hub make one read of the store before a seat is asked for or given up. The keys of seats are acquired one at a time (WithAcquireTurn), so the second one sees the first. Measured: TestOneSeatForEachDaemon failed without the turn; TestSeatIsGivenUp has the lost store.

--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -234,12 +234,13 @@
 	s *mangomessage.RelaySettings, self mangostate.Member, b bootID, store *platform.Store, state *mangostate.Controller,
 	contact *mangostate.Contact, logger *logrus.Logger,
 ) *mangohub.Seats {
+	acquiring := make(chan struct{}, 1)
 	return mangohub.NewSeats(func(seat int, eligible func() bool) mangohub.Lease {
 		return mangolease.New(
 			store, mangostate.SeatKey(self.DataCentre, seat), mangostate.SeatValue(self, string(b)), leaseLookup{state, state.Subscribe()},
 			mangolease.WithLifetime(leaseTime(s, seatLeaseTime)), mangolease.WithTimeout(storeCallTimeout), mangolease.WithRenewShare(seatRenewShare),
 			mangolease.WithObserver(leaseObserver(logger, "seat")), mangolease.WithStoreUnreachable(contact.Down),
-			mangolease.WithEligible(eligible), mangolease.WithAcquireDelay(func() time.Duration { return mangohub.SeatDelay(s.GetHost().GetProcessorShare()) }),
+			mangolease.WithEligible(eligible), mangolease.WithAcquireTurn(acquiring), mangolease.WithAcquireDelay(func() time.Duration { return mangohub.SeatDelay(s.GetHost().GetProcessorShare()) }),
 		)
 	})
 }
--- a/internal/mangohub/handover.go
+++ b/internal/mangohub/handover.go
@@ -22,9 +22,11 @@
 	// a large host itself. A request can get lost or come within minSeatTime, so there is more than one.
 	maxSeatRequests = 3
 	keptPause       = time.Minute
-	// failedPause is the time without requests after a large host did not take a seat that was given up after its request. It cannot
-	// reach the store then, and each further request would only move seats between small hosts.
-	failedPause = 30 * time.Second
+	// failedPause is the time without requests after a large host did not take a seat that was given up after its request. Each further
+	// request could only move seats between small hosts.
+	failedPause = 15 * time.Second
+	// storeTimeout bounds the call that shows whether a large host could take a seat.
+	storeTimeout = 300 * time.Millisecond
 	// minSeatTime is the least time for which a small host keeps its seat, and handoverPause the least time between two seats that it
 	// gives up, so that seats do not move back and forth.
 	minSeatTime   = time.Second
@@ -60,11 +62,11 @@
 	state     State
 	link      HubLink
 	requester SeatRequester
-	// storeDown reports that this daemon does not reach the store, so that it could not give up a seat.
-	storeDown func() bool
-	observe   func(result string)
-	logger    logrus.FieldLogger
-	requests  chan mangostate.Member
+	// reachesStore makes a call to the store, and reports whether it was answered: a seat cannot be given up or taken without it.
+	reachesStore func(ctx context.Context) bool
+	observe      func(result string)
+	logger       logrus.FieldLogger
+	requests     chan mangostate.Member
 
 	// The following fields belong to the goroutine of Run.
 	asks seatAsks
@@ -85,15 +87,17 @@
 	return func(h *Handover) { h.observe = f }
 }
 
-// WithStoreDown sets the function that reports that this daemon does not reach the store.
-func WithStoreDown(f func() bool) HandoverOption { return func(h *Handover) { h.storeDown = f } }
+// WithStoreCheck sets the function that makes a call to the store and reports whether it was answered.
+func WithStoreCheck(f func(ctx context.Context) bool) HandoverOption {
+	return func(h *Handover) { h.reachesStore = f }
+}
 
 // NewHandover returns the handover of the daemon self, whose host is large or small.
 func NewHandover(
 	self mangostate.Member, isLarge bool, seats *Seats, state State, link HubLink, requester SeatRequester, opts ...HandoverOption,
 ) *Handover {
 	h := &Handover{
-		self: self, isLarge: isLarge, seats: seats, state: state, link: link, requester: requester, storeDown: func() bool { return false },
+		self: self, isLarge: isLarge, seats: seats, state: state, link: link, requester: requester, reachesStore: func(context.Context) bool { return true },
 		observe: func(string) {}, logger: logrus.StandardLogger(), requests: make(chan mangostate.Member, 1), asks: newSeatAsks(),
 	}
 	for _, o := range opts {
@@ -121,7 +125,7 @@
 			return ctx.Err()
 		case <-tick.C:
 			h.noteSeat(time.Now())
-			h.askForSeat(time.Now())
+			h.askForSeat(ctx, time.Now())
 		case from := <-h.requests:
 			h.noteSeat(time.Now())
 			h.answer(ctx, from, time.Now())
@@ -140,7 +144,7 @@
 }
 
 // askForSeat asks the next hub of the data centre for its seat if this host is large and has none.
-func (h *Handover) askForSeat(now time.Time) {
+func (h *Handover) askForSeat(ctx context.Context, now time.Time) {
 	if _, follows := h.link.Hub(); !h.isLarge || h.seats.IsHub() || !follows {
 		h.asks.last = mangostate.Member{}
 		return
@@ -152,18 +156,29 @@
 		}
 	}
 	hub, ok := h.asks.next(hubs, now)
-	if !ok {
+	if !ok || !h.storeAnswers(ctx) {
 		return
 	}
+	h.asks.sent(hub, now)
 	h.requester.SendSeatRequest(hub)
 	h.observe(handoverAsked)
 	h.logger.WithFields(logrus.Fields{"event": "seat_requested", "hub": hub.Name, "seat": hub.Seat}).
 		Info("a hub of the data centre is asked for its seat, as this host is large")
 }
 
+// storeAnswers makes a call to the store that is bounded by storeTimeout.
+func (h *Handover) storeAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return h.reachesStore(ctx)
+}
+
 // answer gives up the seat if this host is small and the asking one belongs to the data centre.
 func (h *Handover) answer(ctx context.Context, from mangostate.Member, now time.Time) {
 	reason := h.reasonToKeep(from, now)
+	if reason == "" && !h.storeAnswers(ctx) {
+		reason = "StoreLost"
+	}
 	entry := h.logger.WithFields(logrus.Fields{"asked_by": from.Name, "reason": reason})
 	if reason != "" {
 		h.observe(handoverKept)
@@ -189,8 +204,6 @@
 		return "NewSeat"
 	case !h.gaveUpAt.IsZero() && now.Sub(h.gaveUpAt) < handoverPause:
 		return "GaveUpLately"
-	case h.storeDown():
-		return "StoreDown"
 	default:
 		return ""
 	}
@@ -235,12 +248,13 @@
 		}
 		hub, ok = m, true
 	}
-	if !ok {
-		return hub, false
-	}
+	return hub, ok
+}
+
+// sent records that a hub was asked.
+func (a *seatAsks) sent(hub mangostate.Member, now time.Time) {
 	if a.asked[hub.Name]++; a.asked[hub.Name] >= maxSeatRequests {
 		a.asked[hub.Name], a.pausedUntil[hub.Name] = 0, now.Add(keptPause)
 	}
 	a.last, a.lastAt = hub, now
-	return hub, true
 }
--- a/internal/mangolease/leasedkey.go
+++ b/internal/mangolease/leasedkey.go
@@ -63,6 +63,8 @@
 	// others first.
 	eligible     func() bool
 	acquireDelay func() time.Duration
+	// acquiring holds one element while the key is acquired.
+	acquiring chan struct{}
 	// renewShare is the share of the lifetime that is left when the lease is renewed.
 	renewShare float64
 
@@ -85,7 +87,7 @@
 		store: store, key: key, owner: owner, lookup: lookup, observer: func(bool, uint64, error) {},
 		storeUnreachable: func() bool { return false }, eligible: func() bool { return true },
 		acquireDelay: func() time.Duration { return rand.N(maxAcquireDelay) }, renewShare: 0.75,
-		lifetime: 2 * time.Second, timeout: 500 * time.Millisecond,
+		acquiring: make(chan struct{}, 1), lifetime: 2 * time.Second, timeout: 500 * time.Millisecond,
 	}
 	for _, o := range opts {
 		o(k)
@@ -191,6 +193,12 @@
 		return nil
 	case <-timer.C:
 	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case k.acquiring <- struct{}{}:
+		defer func() { <-k.acquiring }()
+	}
 	if holder, _ := k.lookup.Holder(k.key); holder != "" || !k.eligible() {
 		return nil
 	}
--- a/internal/mangolease/option.go
+++ b/internal/mangolease/option.go
@@ -31,3 +31,7 @@
 
 // WithRenewShare sets the share of the lifetime, from 0 to 1, that is left when the lease is renewed; the default is 3/4.
 func WithRenewShare(share float64) Option { return func(k *LeasedKey) { k.renewShare = share } }
+
+// WithAcquireTurn sets a channel with room for one element, which is in it from the last check whether this daemon is eligible until the
+// key is acquired. Keys of which a daemon may hold only one share it.
+func WithAcquireTurn(turn chan struct{}) Option { return func(k *LeasedKey) { k.acquiring = turn } }
