--- a/internal/mangohub/handover.go
+++ b/internal/mangohub/handover.go
@@ -22,9 +22,9 @@
 	// a large host itself. A request can get lost or come within minSeatTime, so there is more than one.
 	maxSeatRequests = 3
 	keptPause       = time.Minute
-	// failedPause is the time without requests after a large host did not take a seat that was given up after its request. Each further
-	// request could only move seats between small hosts.
-	failedPause = 15 * time.Second
+	// failedPause is the time without requests after a large host did not get a seat that was given up after its request. Another large
+	// host has it, or a small one: then each further request could only move seats between small hosts.
+	failedPause = 5 * time.Second
 	// storeTimeout bounds the call that shows whether a large host could take a seat.
 	storeTimeout = 300 * time.Millisecond
 	// minSeatTime is the least time for which a small host keeps its seat, and handoverPause the least time between two seats that it
