Wait for states of the stand-in engine instead of times

Cause: TestOrdersReplaceLayers slept for 150 ms, in which the stream had to end and two polls and a load of 30 ms had to follow. TestLaggingReportsAndLostEvents had 200 ms from a step to two requests. TestResentStepRunsOnce resumed a call after 50 ms, in which the call had to begin, and allowed 180 ms above the time of a step. Change: the tests poll for the state; the lag of reports is 1 s and the step takes 2 s, with a bound of two steps. TestResentStepRunsOnce fails if a pending step is queued again.

--- a/internal/mangoengine/engine_test.go
+++ b/internal/mangoengine/engine_test.go
@@ -13,6 +13,16 @@
 
 const prompt = "two cats and a dog look for a home"
 
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+	}
+}
+
 // Guards against a chain of stages whose tokens differ from those of the whole model.
 func TestChainMatchesWholeModel(t *testing.T) {
 	tests := []struct {
@@ -122,14 +132,19 @@
 // and sends the step again while it runs.
 func TestResentStepRunsOnce(t *testing.T) {
 	is := is.New(t)
-	e, server := startEngine(t, 0, 4, WithStepTime(200*time.Millisecond))
-	start := time.Now()
+	const stepTime = 2 * time.Second
+	e, server := startEngine(t, 0, 4, WithStepTime(stepTime))
 	replaced := openStream(t, server, newOpen(0, 4, false))
+	start := time.Now()
 	go replaced.step(0, prompt, nil, nil)
-	time.Sleep(50 * time.Millisecond)
+	eventually(t, "the step is pending", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.calls[callKey{"c", 1}].pendingStep != nil
+	})
 	s := openStream(t, server, newOpen(0, 4, true))
 	is.Equal(s.step(0, prompt, nil, nil).Error, "")
-	is.True(time.Since(start) < 380*time.Millisecond)
+	is.True(time.Since(start) < 2*stepTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	is.Equal(len(e.trace), 1)
@@ -238,10 +253,13 @@
 			time.Sleep(50 * time.Millisecond)
 			is.Equal(s.step(0, prompt, nil, nil).Error, "")
 			s.close()
+			// Time for an order that should not be carried out.
 			time.Sleep(150 * time.Millisecond)
-			var state mangomessage.EngineState
-			is.Equal(sendJSON(t, server, "GET", "/v1/state", nil, &state), 200)
-			is.Equal(state.Version, test.version)
+			eventually(t, "the engine has version "+test.version, func() bool {
+				var state mangomessage.EngineState
+				is.Equal(sendJSON(t, server, "GET", "/v1/state", nil, &state), 200)
+				return state.Loading == "" && state.Version == test.version
+			})
 		})
 	}
 }
@@ -290,7 +308,8 @@
 // without effect.
 func TestLaggingReportsAndLostEvents(t *testing.T) {
 	is := is.New(t)
-	_, server := startEngine(t, 0, 4, WithReportLag(200*time.Millisecond), WithCacheEntries(2))
+	const lag = time.Second
+	_, server := startEngine(t, 0, 4, WithReportLag(lag), WithCacheEntries(2))
 	s := openStream(t, server, newOpen(0, 4, false))
 	s.step(0, prompt, nil, nil)
 	var state mangomessage.EngineState
@@ -299,13 +318,13 @@
 	is.Equal(sendJSON(t, server, "GET", "/v1/events?After=0", nil, &events), 200)
 	is.Equal(state.Running, uint32(0))
 	is.Equal(len(events.Events), 0)
-	time.Sleep(250 * time.Millisecond)
-	is.Equal(sendJSON(t, server, "GET", "/v1/state", nil, &state), 200)
-	is.Equal(sendJSON(t, server, "GET", "/v1/events?After=0", nil, &events), 200)
-	is.Equal(state.Running, uint32(1))
-	is.True(state.LagMs >= 200)
-	is.Equal(events.Next, uint64(1))
-	is.Equal(sendJSON(t, server, "POST", "/admin/faults", Faults{DropEvents: 100}, nil), 200)
+	eventually(t, "the report shows the stream, and the event is visible", func() bool {
+		is.Equal(sendJSON(t, server, "GET", "/v1/state", nil, &state), 200)
+		is.Equal(sendJSON(t, server, "GET", "/v1/events?After=0", nil, &events), 200)
+		return state.Running == 1 && events.Next == 1
+	})
+	is.True(state.LagMs >= uint32(lag.Milliseconds()))
+	is.Equal(sendJSON(t, server, "POST", "/admin/faults", Faults{DropEvents: 100, StateLagMs: 200}, nil), 200)
 	lost := newOpen(0, 4, false)
 	lost.PrefixDigest = "q"
 	openStream(t, server, lost).step(0, prompt, nil, nil)
