Leave stand-ins the time of a busy machine in their tests

Cause: TestBlindRetryRunsTwice had 50 ms in which two attempts had to reach the service. TestFaultsAffectOnlyTheirTraffic had 100 ms for each echo that has to come back. TestExpiredLeaseRemovesKeys had 60 ms from a lease to its use, TestHostListIsDelayed 80 ms for three requests before a list was to be visible. Change: the timeout of an attempt is 1 s and the service takes 2 s; echoes that have to come back have 20 s, and the count of lines is awaited; the lease and the delay of the list last for 1.5 s.

--- a/internal/mangofault/proxy_test.go
+++ b/internal/mangofault/proxy_test.go
@@ -83,6 +83,17 @@
 	return time.Since(start), err
 }
 
+// workingTimeout bounds an echo that is to come back, also on a busy machine.
+const workingTimeout = 20 * time.Second
+
+// timeoutFor returns the timeout of an echo that is to come back or not.
+func timeoutFor(works bool) time.Duration {
+	if works {
+		return workingTimeout
+	}
+	return 100 * time.Millisecond
+}
+
 // Guards against faults that affect too little or too much, on connections that were opened before or after the fault.
 func TestFaultsAffectOnlyTheirTraffic(t *testing.T) {
 	tests := []struct {
@@ -105,21 +116,25 @@
 			p, lines := startProxy(t)
 			conn, err := dial(t, p)
 			is.NoErr(err)
-			_, err = echo(conn, "a", time.Second)
+			_, err = echo(conn, "a", workingTimeout)
 			is.NoErr(err)
 			is.NoErr(p.SetFaults(context.Background(), test.faults))
-			_, err = echo(conn, "b", 100*time.Millisecond)
+			_, err = echo(conn, "b", timeoutFor(test.existingWorks))
 			is.Equal(err == nil, test.existingWorks)
 			newConn, err := dial(t, p)
 			if err == nil {
-				_, err = echo(newConn, "c", 100*time.Millisecond)
+				_, err = echo(newConn, "c", timeoutFor(test.newWorks))
 			}
 			is.Equal(err == nil, test.newWorks)
+			// A line whose echo is lost may arrive after its timeout.
+			for until := time.Now().Add(workingTimeout); lines.Load() < test.lines && time.Now().Before(until); {
+				time.Sleep(5 * time.Millisecond)
+			}
 			is.Equal(lines.Load(), test.lines)
 			is.NoErr(p.SetFaults(context.Background(), Faults{}))
 			again, err := dial(t, p)
 			is.NoErr(err)
-			_, err = echo(again, "d", time.Second)
+			_, err = echo(again, "d", workingTimeout)
 			is.NoErr(err)
 		})
 	}
@@ -156,7 +171,7 @@
 	p, _ := startProxy(t)
 	conn, err := dial(t, p)
 	is.NoErr(err)
-	_, err = echo(conn, "a", time.Second)
+	_, err = echo(conn, "a", workingTimeout)
 	is.NoErr(err)
 	is.NoErr(p.SetFaults(context.Background(), Faults{Freeze: true}))
 	is.Equal(p.State().Frozen, 1)
--- a/internal/mangonaive/router_test.go
+++ b/internal/mangonaive/router_test.go
@@ -106,10 +106,10 @@
 // Guards against a baseline that does not retry a call whose reply came after the timeout. Such a call runs twice.
 func TestBlindRetryRunsTwice(t *testing.T) {
 	is := is.New(t)
-	service := httptest.NewServer(mangoservice.New("h", mangoservice.WithDelay(100*time.Millisecond)))
+	service := httptest.NewServer(mangoservice.New("h", mangoservice.WithDelay(2*time.Second)))
 	defer service.Close()
 	replica := strings.TrimPrefix(service.URL, "http://")
-	server := startRouter(t, Settings{Retries: 1, TimeoutMs: 50, Profiles: []Profile{{Name: "s", Services: []string{replica}}}})
+	server := startRouter(t, Settings{Retries: 1, TimeoutMs: 1000, Profiles: []Profile{{Name: "s", Services: []string{replica}}}})
 	status, _ := send(t, server, "POST", "/v1/services/s/book", "{}")
 	is.Equal(status, 502)
 	_, executions := send(t, service, "GET", "/admin/executions", "")
--- a/internal/mangoplatform/server_test.go
+++ b/internal/mangoplatform/server_test.go
@@ -73,10 +73,10 @@
 	is := is.New(t)
 	server := startServer(t)
 	var l mangomessage.LeaseReply
-	is.Equal(sendJSON(t, server, "POST", "/v1/leases/grant", &mangomessage.LeaseRequest{TtlMs: 60}, &l), 200)
+	is.Equal(sendJSON(t, server, "POST", "/v1/leases/grant", &mangomessage.LeaseRequest{TtlMs: 1500}, &l), 200)
 	put := &mangomessage.PutRequest{Key: "k", Value: []byte("v"), LeaseId: l.LeaseId}
 	is.Equal(sendJSON(t, server, "POST", "/v1/put", put, nil), 200)
-	time.Sleep(90 * time.Millisecond)
+	time.Sleep(1600 * time.Millisecond)
 	var item mangomessage.Item
 	is.Equal(sendJSON(t, server, "GET", "/v1/keys?Key=k", nil, &item), 200)
 	is.Equal(item.Version, uint64(0))
@@ -148,7 +148,7 @@
 // Guards against a host list whose changes are visible without delay or while it is frozen.
 func TestHostListIsDelayed(t *testing.T) {
 	is := is.New(t)
-	server := startServer(t, WithHostListDelay(80*time.Millisecond))
+	server := startServer(t, WithHostListDelay(1500*time.Millisecond))
 	count := func() int {
 		var list mangomessage.HostList
 		is.Equal(sendJSON(t, server, "GET", "/v1/hosts", nil, &list), 200)
@@ -158,7 +158,7 @@
 	is.Equal(sendJSON(t, server, "POST", "/admin/hosts", list, nil), 200)
 	is.Equal(count(), 0)
 	is.Equal(sendJSON(t, server, "POST", "/admin/faults", Faults{HostListFrozen: true}, nil), 200)
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(1600 * time.Millisecond)
 	is.Equal(count(), 0)
 	is.Equal(sendJSON(t, server, "POST", "/admin/faults", Faults{}, nil), 200)
 	is.Equal(count(), 1)
