Run tests of background loops with the clock of synctest

Cause: tests of the poller, the controller, the monitor, the placer and the detector of slow replicas used the real clock although they have no network. TestDetectsSilentReplica had 10 ms from a failed dial to its report, TestMismatchAfterChangedPaths 100 ms for an order, TestStaleBookIsConfirmedBeforeRouting 500 ms above a timeout of as much, TestPollerPollsWhileStoreIsUnreachable 900 ms between two revisions of peers, and TestSlowReplicaIsRechecked 1.2 s from a probe to the next look at the probes. Change: they run with the clock of testing/synctest. What they require is unchanged; the other daemon's probe in TestProbesAreShared is made now instead of an hour ahead, since the clock keeps it recent. Measured: found by reading.

--- a/internal/mangocontrol/confirm_test.go
+++ b/internal/mangocontrol/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -77,27 +78,29 @@
 		{"store hangs, no peer", func(*testing.T) *fakeDependencies { return &fakeDependencies{storeHangs: true} }, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			f := c.fake(t)
-			logger := logrus.New()
-			logger.SetLevel(logrus.PanicLevel)
-			// The intervals are too long for a poll or an exchange, so that only the call itself can confirm the book.
-			controller := New(Identity{Name: "a"}, f, f, f, f, WithLogger(logger), WithSeeds("peer:1"), WithTiming(Timing{
-				PollInterval: time.Hour, HostListInterval: time.Hour, ExchangeInterval: time.Hour, ExchangeTimeout: time.Second, ProbeInterval: time.Hour, FreshnessBound: time.Second,
-			}))
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() {
-				controller.runState(ctx)
-				close(ended)
-			}()
-			start := time.Now()
-			controller.confirmIfStale(ctx)
-			is.True(time.Since(start) < 2*confirmTimeout)
-			is.Equal(controller.Snapshot().Book.Revision(), c.revision)
-			is.Equal(controller.IsFresh(), c.fresh)
-			cancel()
-			<-ended
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := c.fake(t)
+				logger := logrus.New()
+				logger.SetLevel(logrus.PanicLevel)
+				// The intervals are too long for a poll or an exchange, so that only the call itself can confirm the book.
+				controller := New(Identity{Name: "a"}, f, f, f, f, WithLogger(logger), WithSeeds("peer:1"), WithTiming(Timing{
+					PollInterval: time.Hour, HostListInterval: time.Hour, ExchangeInterval: time.Hour, ExchangeTimeout: time.Second, ProbeInterval: time.Hour, FreshnessBound: time.Second,
+				}))
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() {
+					controller.runState(ctx)
+					close(ended)
+				}()
+				start := time.Now()
+				controller.confirmIfStale(ctx)
+				is.True(time.Since(start) < 2*confirmTimeout)
+				is.Equal(controller.Snapshot().Book.Revision(), c.revision)
+				is.Equal(controller.IsFresh(), c.fresh)
+				cancel()
+				<-ended
+			})
 		})
 	}
 }
--- a/internal/mangolayout/order_test.go
+++ b/internal/mangolayout/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -46,24 +47,26 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			logger := logrus.New()
-			logger.SetOutput(io.Discard)
-			client := &countingClient{fakeClient: fakeClient{report: tt.report}, accepted: 5}
-			p := New(&fakeState{}, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger))
-			r := &mangoreplica.Replica{ID: "r", Layers: held}
-			p.setAcceptedOrders(r.Incarnation(), 3)
-			begun := time.Now()
-			accepted := p.send(t.Context(), plannedOrder{
-				Order: Order{Replica: r, Layers: wanted, Urgent: tt.urgent}, engine: &mangoroute.Engine{Layers: 8}, reason: ReasonCopy,
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				logger := logrus.New()
+				logger.SetOutput(io.Discard)
+				client := &countingClient{fakeClient: fakeClient{report: tt.report}, accepted: 5}
+				p := New(&fakeState{}, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger))
+				r := &mangoreplica.Replica{ID: "r", Layers: held}
+				p.setAcceptedOrders(r.Incarnation(), 3)
+				begun := time.Now()
+				accepted := p.send(t.Context(), plannedOrder{
+					Order: Order{Replica: r, Layers: wanted, Urgent: tt.urgent}, engine: &mangoroute.Engine{Layers: 8}, reason: ReasonCopy,
+				})
+				is.True(!accepted)
+				pending := p.pendingOrders[r.Incarnation()]
+				is.True(pending.paused)
+				left := pending.until.Sub(begun)
+				is.True(left >= tt.pause && left < tt.pause+100*time.Millisecond)
+				is.Equal(len(p.replan) == 1, tt.plans)
+				is.Equal(p.acceptedOrders[r.Incarnation()], max(3, tt.report.AcceptedOrders))
 			})
-			is.True(!accepted)
-			pending := p.pendingOrders[r.Incarnation()]
-			is.True(pending.paused)
-			left := pending.until.Sub(begun)
-			is.True(left >= tt.pause && left < tt.pause+100*time.Millisecond)
-			is.Equal(len(p.replan) == 1, tt.plans)
-			is.Equal(p.acceptedOrders[r.Incarnation()], max(3, tt.report.AcceptedOrders))
 		})
 	}
 }
--- a/internal/mangolayout/survey_test.go
+++ b/internal/mangolayout/survey_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -96,31 +97,33 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			client := &fakeClient{report: tt.report, err: tt.err}
-			model := &mangoroute.Engine{
-				Layers: 8, LayerMB: 1750, TokenBytes: 590000, LoadSeconds: 60,
-				Accelerators: map[string]mangoroute.Accelerator{"k": {MemoryMB: 72000, StepFactor: 1}},
-			}
-			state := &fakeState{view: mangostate.View{
-				Table:     mangoroute.New(1, nil, []mangoroute.Service{{Name: "model", Engine: model}}, nil, false, mangoroute.Limits{}),
-				Fleet:     mangoreplica.NewFleet([]*mangoreplica.Replica{{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}}),
-				Reachable: tt.reachable,
-			}}
-			logger := logrus.New()
-			logger.SetOutput(io.Discard)
-			p := New(state, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger), WithLayerReportHandler(state.recordLayerReport))
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 1)
-			go func() { ended <- p.Run(ctx) }()
-			until := time.Now().Add(startupQuiet + 4*planInterval)
-			for time.Now().Before(until) && (tt.orders == 0 || client.orderCount() == 0) {
-				time.Sleep(planInterval / 10)
-			}
-			cancel()
-			is.True(<-ended != nil)
-			is.Equal(client.orderCount(), tt.orders)
-			is.Equal(state.View().Fleet.ByID("r").Layers, tt.held)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client := &fakeClient{report: tt.report, err: tt.err}
+				model := &mangoroute.Engine{
+					Layers: 8, LayerMB: 1750, TokenBytes: 590000, LoadSeconds: 60,
+					Accelerators: map[string]mangoroute.Accelerator{"k": {MemoryMB: 72000, StepFactor: 1}},
+				}
+				state := &fakeState{view: mangostate.View{
+					Table:     mangoroute.New(1, nil, []mangoroute.Service{{Name: "model", Engine: model}}, nil, false, mangoroute.Limits{}),
+					Fleet:     mangoreplica.NewFleet([]*mangoreplica.Replica{{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}}),
+					Reachable: tt.reachable,
+				}}
+				logger := logrus.New()
+				logger.SetOutput(io.Discard)
+				p := New(state, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger), WithLayerReportHandler(state.recordLayerReport))
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- p.Run(ctx) }()
+				until := time.Now().Add(startupQuiet + 4*planInterval)
+				for time.Now().Before(until) && (tt.orders == 0 || client.orderCount() == 0) {
+					time.Sleep(planInterval / 10)
+				}
+				cancel()
+				is.True(<-ended != nil)
+				is.Equal(client.orderCount(), tt.orders)
+				is.Equal(state.View().Fleet.ByID("r").Layers, tt.held)
+			})
 		})
 	}
 }
@@ -171,31 +174,33 @@
 // Guards against an order that counts as lost while its replica still waits for requests: the placer then orders other
 // layers, which the replica refuses for as long as it is busy.
 func TestBusyReplicaKeepsItsOrder(t *testing.T) {
-	is := is.New(t)
-	layers := mangoreplica.LayerRange{To: 8}
-	replica := &mangoreplica.Replica{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}
-	model := &mangoroute.Engine{Layers: 8, LayerMB: 1750, TokenBytes: 590000}
-	state := &fakeState{view: mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{replica})}}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	client := &fakeClient{report: Report{AcceptedOrders: 1, Busy: true}}
-	p := New(state, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger), WithLayerReportHandler(state.recordLayerReport))
-	start := time.Now()
-	p.recordSent(replica.Incarnation(), layers, start.Add(entryLag))
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		p.awaitLayers(t.Context(), plannedOrder{Order: Order{Replica: replica, Layers: layers}, engine: model})
-	}()
-	time.Sleep(entryLag + entryLag/4)
-	p.mu.Lock()
-	until := p.pendingOrders[replica.Incarnation()].until
-	p.mu.Unlock()
-	is.True(until.After(time.Now())) // the order is still pending
-
-	client.mu.Lock()
-	client.report = Report{AcceptedOrders: 1, Layers: layers}
-	client.mu.Unlock()
-	<-ended
-	is.Equal(state.View().Fleet.ByID("r").Layers, layers)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		layers := mangoreplica.LayerRange{To: 8}
+		replica := &mangoreplica.Replica{ID: "r", Service: "model", Address: "127.0.0.1:1", DataCentre: "a", Accelerator: "k"}
+		model := &mangoroute.Engine{Layers: 8, LayerMB: 1750, TokenBytes: 590000}
+		state := &fakeState{view: mangostate.View{Fleet: mangoreplica.NewFleet([]*mangoreplica.Replica{replica})}}
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		client := &fakeClient{report: Report{AcceptedOrders: 1, Busy: true}}
+		p := New(state, heldLease{}, client, mangoreplica.NewHealthTracker(), WithLogger(logger), WithLayerReportHandler(state.recordLayerReport))
+		start := time.Now()
+		p.recordSent(replica.Incarnation(), layers, start.Add(entryLag))
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			p.awaitLayers(t.Context(), plannedOrder{Order: Order{Replica: replica, Layers: layers}, engine: model})
+		}()
+		time.Sleep(entryLag + entryLag/4)
+		p.mu.Lock()
+		until := p.pendingOrders[replica.Incarnation()].until
+		p.mu.Unlock()
+		is.True(until.After(time.Now())) // the order is still pending
+
+		client.mu.Lock()
+		client.report = Report{AcceptedOrders: 1, Layers: layers}
+		client.mu.Unlock()
+		<-ended
+		is.Equal(state.View().Fleet.ByID("r").Layers, layers)
+	})
 }
--- a/internal/mangoliveness/monitor_test.go
+++ b/internal/mangoliveness/monitor_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -119,30 +120,32 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			reports := make(chan string, 4)
-			m := New(mangostate.Member{Name: "entry-0"}, fixedState{view(1, replica("r", "model", "r:1"))}, nil,
-				func(*mangoreplica.Replica) { reports <- "ended" }, WithLogger(discardLogger()),
-				WithSilenceHandler(func(*mangoreplica.Replica) { reports <- "silent" }))
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			dials := 0
-			m.dial = func(context.Context, string) (net.Conn, error) {
-				dials++
-				if dials == 1 && tt.connected {
-					conn, other := net.Pipe()
-					_ = other.Close()
-					return conn, nil
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				reports := make(chan string, 4)
+				m := New(mangostate.Member{Name: "entry-0"}, fixedState{view(1, replica("r", "model", "r:1"))}, nil,
+					func(*mangoreplica.Replica) { reports <- "ended" }, WithLogger(discardLogger()),
+					WithSilenceHandler(func(*mangoreplica.Replica) { reports <- "silent" }))
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				dials := 0
+				m.dial = func(context.Context, string) (net.Conn, error) {
+					dials++
+					if dials == 1 && tt.connected {
+						conn, other := net.Pipe()
+						_ = other.Close()
+						return conn, nil
+					}
+					time.AfterFunc(10*time.Millisecond, cancel)
+					return nil, tt.err
 				}
-				time.AfterFunc(10*time.Millisecond, cancel)
-				return nil, tt.err
-			}
-			m.monitorReplica(ctx, replica("r", "model", "r:1"))
-			got := ""
-			if len(reports) > 0 {
-				got = <-reports
-			}
-			is.Equal(got, tt.want)
+				m.monitorReplica(ctx, replica("r", "model", "r:1"))
+				got := ""
+				if len(reports) > 0 {
+					got = <-reports
+				}
+				is.Equal(got, tt.want)
+			})
 		})
 	}
 }
--- a/internal/mangoslowness/detector_test.go
+++ b/internal/mangoslowness/detector_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -108,21 +109,23 @@
 // Guards against slow replicas that are never found, that never count as recovered, or that count as recovered while they
 // are still slow. Also guards against probes of replicas in other data centres.
 func TestSlowReplicaIsRechecked(t *testing.T) {
-	is := is.New(t)
-	s := newSetup(t)
-	s.prober.set("a2", 5)
-	s.run(t)
-	s.detector.ReportSlow("model", "a")
-	s.eventually(t, "found", func() bool { return s.slow("a2") })
-	first := []mangoreplica.Pace{<-s.announced, <-s.announced}
-	is.True(first[0].Replica.ID != first[1].Replica.ID) // both are announced
-	is.Equal(s.prober.probedIDs(), []string{"a1", "a2"})
-	is.True(!s.slow("a1"))
-	// The slow replica is probed again without another call of ReportSlow.
-	s.eventually(t, "probed again", func() bool { return len(s.prober.probedIDs()) >= 3 })
-	is.True(s.slow("a2"))
-	s.prober.set("a2", 1)
-	s.eventually(t, "no longer slow", func() bool { return !s.slow("a2") })
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSetup(t)
+		s.prober.set("a2", 5)
+		s.run(t)
+		s.detector.ReportSlow("model", "a")
+		s.eventually(t, "found", func() bool { return s.slow("a2") })
+		first := []mangoreplica.Pace{<-s.announced, <-s.announced}
+		is.True(first[0].Replica.ID != first[1].Replica.ID) // both are announced
+		is.Equal(s.prober.probedIDs(), []string{"a1", "a2"})
+		is.True(!s.slow("a1"))
+		// The slow replica is probed again without another call of ReportSlow.
+		s.eventually(t, "probed again", func() bool { return len(s.prober.probedIDs()) >= 3 })
+		is.True(s.slow("a2"))
+		s.prober.set("a2", 1)
+		s.eventually(t, "no longer slow", func() bool { return !s.slow("a2") })
+	})
 }
 
 // Guards against several daemons that probe the same replicas at the same time, although each probe has a cost.
@@ -154,27 +157,32 @@
 			}
 		})
 	}
-	is := is.New(t)
-	s := newSetup(t)
-	// A time in the future keeps the other daemon's probe recent, however long the test has to wait for the processor.
-	s.detector.RecordPeerReport(mangoreplica.Pace{Replica: mangoreplica.Incarnation{ID: "a1"}, Slowness: 4, At: time.Now().Add(time.Hour)}, "peer")
-	is.True(s.slow("a1"))
-	s.run(t)
-	s.detector.ReportSlow("model", "a")
-	s.detector.ReportSlow("model", "b")
-	s.eventually(t, "the other data centre is probed", func() bool { return len(s.prober.probedIDs()) > 0 })
-	is.Equal(s.prober.probedIDs(), []string{"b1"})
+	t.Run("probed by another daemon", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newSetup(t)
+			s.detector.RecordPeerReport(mangoreplica.Pace{Replica: mangoreplica.Incarnation{ID: "a1"}, Slowness: 4, At: time.Now()}, "peer")
+			is.True(s.slow("a1"))
+			s.run(t)
+			s.detector.ReportSlow("model", "a")
+			s.detector.ReportSlow("model", "b")
+			s.eventually(t, "the other data centre is probed", func() bool { return len(s.prober.probedIDs()) > 0 })
+			is.Equal(s.prober.probedIDs(), []string{"b1"})
+		})
+	})
 }
 
 // Guards against a replica that counts as slow, or as no longer slow, because it does not answer a probe.
 func TestNoAnswerChangesNothing(t *testing.T) {
-	is := is.New(t)
-	s := newSetup(t)
-	delete(s.prober.slowness, "a2")
-	s.prober.set("a1", 9)
-	s.run(t)
-	s.detector.ReportSlow("model", "a")
-	s.eventually(t, "found", func() bool { return s.slow("a1") })
-	is.True(!s.slow("a2"))
-	is.Equal((<-s.announced).Replica.ID, "a1")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSetup(t)
+		delete(s.prober.slowness, "a2")
+		s.prober.set("a1", 9)
+		s.run(t)
+		s.detector.ReportSlow("model", "a")
+		s.eventually(t, "found", func() bool { return s.slow("a1") })
+		is.True(!s.slow("a2"))
+		is.Equal((<-s.announced).Replica.ID, "a1")
+	})
 }
--- a/internal/mangostate/outage_test.go
+++ b/internal/mangostate/outage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -61,33 +62,35 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			feed := &scriptedFeed{snapshots: make(chan []Change, 1), watches: make(chan uint64, 8)}
-			feed.snapshots <- nil
-			c := New(feed, mangoreplica.NewHealthTracker(), WithLogger(discardLogger()))
-			store := &countingStore{}
-			p := NewPoller(c, store, NewContact(), func(uint64) {})
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 2)
-			go func() { ended <- c.Run(ctx) }()
-			go func() { ended <- p.Run(ctx) }()
-			<-feed.watches
-			if tt.lost {
-				c.ReportReachable(false)
-				for c.View().Reachable {
-					time.Sleep(time.Millisecond)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				feed := &scriptedFeed{snapshots: make(chan []Change, 1), watches: make(chan uint64, 8)}
+				feed.snapshots <- nil
+				c := New(feed, mangoreplica.NewHealthTracker(), WithLogger(discardLogger()))
+				store := &countingStore{}
+				p := NewPoller(c, store, NewContact(), func(uint64) {})
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan error, 2)
+				go func() { ended <- c.Run(ctx) }()
+				go func() { ended <- p.Run(ctx) }()
+				<-feed.watches
+				if tt.lost {
+					c.ReportReachable(false)
+					for c.View().Reachable {
+						time.Sleep(time.Millisecond)
+					}
 				}
-			}
-			// Revisions of peers arrive more often than the poller would poll.
-			until := time.Now().Add(minPollDelay + pollJitter + time.Second)
-			for time.Now().Before(until) && (!tt.want || store.polls.Load() == 0) {
-				p.RecordPeerRevision(1)
-				time.Sleep(minPollDelay / 10)
-			}
-			is.Equal(store.polls.Load() > 0, tt.want)
-			cancel()
-			is.True(errors.Is(<-ended, context.Canceled))
-			is.True(errors.Is(<-ended, context.Canceled))
+				// Revisions of peers arrive more often than the poller would poll.
+				until := time.Now().Add(minPollDelay + pollJitter + time.Second)
+				for time.Now().Before(until) && (!tt.want || store.polls.Load() == 0) {
+					p.RecordPeerRevision(1)
+					time.Sleep(minPollDelay / 10)
+				}
+				is.Equal(store.polls.Load() > 0, tt.want)
+				cancel()
+				is.True(errors.Is(<-ended, context.Canceled))
+				is.True(errors.Is(<-ended, context.Canceled))
+			})
 		})
 	}
 }
