Run tests of the last lines and direct messages with the clock of synctest

Cause: TestLastLinesAreReadSlowly reads the last lines for two thirds of the time for them, so 80 ms without processor time ended it early. TestDirectMessages needs three calls within the 5 ms for which messages are collected. Change: both, and their neighbours TestRunEndsWhileOutputBlocks and TestAnswersShowLife, run with the clock of testing/synctest. The calls of TestDirectMessages come a quarter of the time apart, so that messages that are not collected still fail it. The first fails with a shorter time for a stalled output, the second without the wait for further messages.

--- a/internal/mangobroadcast/direct_test.go
+++ b/internal/mangobroadcast/direct_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -28,38 +29,42 @@
 
 // Guards against requests and results of checks that are lost or changed on their way, and against a message for each of them.
 func TestDirectMessages(t *testing.T) {
-	is := is.New(t)
-	br := newBroadcasterIn(fixedTopology{hub: "two"}, "two")
-	client := recordingClient{make(chan *mangomessage.ExchangeRequest, 8), make(chan string, 8)}
-	br.client = client
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error)
-	go func() { ended <- br.Run(ctx) }()
-	to, r, s := mangostate.Member{Name: "five", Address: "five:1"}, mangoreplica.Incarnation{ID: "r", Born: 3}, mangoreplica.Incarnation{ID: "s", Born: 4}
-	br.SendCheckRequests(to, []mangoreplica.Incarnation{r, s})
-	br.SendCheckResult(to, CheckResult{Replica: r, Reachable: true, At: time.Now()})
-	br.SendOutage(to, mangoreplica.Outage{Replica: s, Cause: mangoreplica.CauseUnreachable, At: time.Now(), Until: time.Now().Add(time.Second), Checked: true})
-	is.Equal(<-client.to, "five:1")
-	message := <-client.sent
-	cancel()
-	is.True(<-ended != nil)
-	is.Equal(len(client.sent), 0)
-	is.True(message.GetOutages()[0].GetChecked())
-	receiver := newBroadcaster("two")
-	var requests []mangoreplica.Incarnation
-	var results []CheckResult
-	receiver.OnCheckRequests(func(from mangostate.Member, replicas []mangoreplica.Incarnation) {
-		is.Equal(from.Name, "one")
-		requests = append(requests, replicas...)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		br := newBroadcasterIn(fixedTopology{hub: "two"}, "two")
+		client := recordingClient{make(chan *mangomessage.ExchangeRequest, 8), make(chan string, 8)}
+		br.client = client
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- br.Run(ctx) }()
+		to, r, s := mangostate.Member{Name: "five", Address: "five:1"}, mangoreplica.Incarnation{ID: "r", Born: 3}, mangoreplica.Incarnation{ID: "s", Born: 4}
+		br.SendCheckRequests(to, []mangoreplica.Incarnation{r, s})
+		time.Sleep(batchDelay / 4)
+		br.SendCheckResult(to, CheckResult{Replica: r, Reachable: true, At: time.Now()})
+		time.Sleep(batchDelay / 4)
+		br.SendOutage(to, mangoreplica.Outage{Replica: s, Cause: mangoreplica.CauseUnreachable, At: time.Now(), Until: time.Now().Add(time.Second), Checked: true})
+		is.Equal(<-client.to, "five:1")
+		message := <-client.sent
+		cancel()
+		is.True(<-ended != nil)
+		is.Equal(len(client.sent), 0)
+		is.True(message.GetOutages()[0].GetChecked())
+		receiver := newBroadcaster("two")
+		var requests []mangoreplica.Incarnation
+		var results []CheckResult
+		receiver.OnCheckRequests(func(from mangostate.Member, replicas []mangoreplica.Incarnation) {
+			is.Equal(from.Name, "one")
+			requests = append(requests, replicas...)
+		})
+		receiver.OnCheckResult(func(c CheckResult, _ string) { results = append(results, c) })
+		_, err := receiver.Exchange(t.Context(), message)
+		is.NoErr(err)
+		is.Equal(requests, []mangoreplica.Incarnation{r, s})
+		is.Equal(len(results), 1)
+		is.Equal(results[0].Replica, r)
+		is.True(results[0].Reachable)
+		is.True(receiver.queued.empty() && receiver.queuedForFollowers.empty()) // checks are not sent on
 	})
-	receiver.OnCheckResult(func(c CheckResult, _ string) { results = append(results, c) })
-	_, err := receiver.Exchange(t.Context(), message)
-	is.NoErr(err)
-	is.Equal(requests, []mangoreplica.Incarnation{r, s})
-	is.Equal(len(results), 1)
-	is.Equal(results[0].Replica, r)
-	is.True(results[0].Reachable)
-	is.True(receiver.queued.empty() && receiver.queuedForFollowers.empty()) // checks are not sent on
 }
 
 // failingClient is an Exchanger of which every second message fails.
@@ -79,26 +84,28 @@
 // Guards against a hub that counts as alive although it did not answer, against a request for an answer that is not sent as it names no
 // replica, and against a message from a daemon that does not count as a sign of life.
 func TestAnswersShowLife(t *testing.T) {
-	is := is.New(t)
-	br := newBroadcasterIn(fixedTopology{hub: "two"}, "two")
-	client := &failingClient{recordingClient: recordingClient{make(chan *mangomessage.ExchangeRequest, 8), make(chan string, 8)}}
-	br.client = client
-	alive := make(chan mangostate.Member, 8)
-	br.OnAlive(func(m mangostate.Member) { alive <- m })
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error)
-	go func() { ended <- br.Run(ctx) }()
-	to := mangostate.Member{Name: "five", DataCentre: "b", Address: "five:1"}
-	br.SendCheckRequests(to, nil)
-	is.Equal(<-client.to, "five:1")
-	br.SendCheckRequests(to, nil)
-	is.Equal(<-alive, to)
-	is.Equal(client.calls.Load(), int32(2)) // the first one failed
-	_, err := br.Exchange(ctx, &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: "six", DataCentre: "c"}})
-	is.NoErr(err)
-	is.Equal((<-alive).DataCentre, "c")
-	cancel()
-	is.True(<-ended != nil)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		br := newBroadcasterIn(fixedTopology{hub: "two"}, "two")
+		client := &failingClient{recordingClient: recordingClient{make(chan *mangomessage.ExchangeRequest, 8), make(chan string, 8)}}
+		br.client = client
+		alive := make(chan mangostate.Member, 8)
+		br.OnAlive(func(m mangostate.Member) { alive <- m })
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- br.Run(ctx) }()
+		to := mangostate.Member{Name: "five", DataCentre: "b", Address: "five:1"}
+		br.SendCheckRequests(to, nil)
+		is.Equal(<-client.to, "five:1")
+		br.SendCheckRequests(to, nil)
+		is.Equal(<-alive, to)
+		is.Equal(client.calls.Load(), int32(2)) // the first one failed
+		_, err := br.Exchange(ctx, &mangomessage.ExchangeRequest{From: &mangomessage.Member{Name: "six", DataCentre: "c"}})
+		is.NoErr(err)
+		is.Equal((<-alive).DataCentre, "c")
+		cancel()
+		is.True(<-ended != nil)
+	})
 }
 
 // Guards against a second check of what a monitor has found, and against trust in a daemon that does not monitor the replica.
--- a/internal/mangolog/writer_test.go
+++ b/internal/mangolog/writer_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -58,40 +59,46 @@
 
 // Guards against a process that does not end because its log output is blocked.
 func TestRunEndsWhileOutputBlocks(t *testing.T) {
-	is := is.New(t)
-	out := &blockedOutput{release: make(chan struct{})}
-	defer close(out.release)
-	w := New(out)
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- w.Run(ctx) }()
-	_, err := w.Write([]byte("line\n"))
-	is.NoErr(err)
-	cancel()
-	select {
-	case err := <-ended:
-		is.Equal(err, context.Canceled)
-	case <-time.After(5 * time.Second):
-		t.Fatal("Run did not return although its context ended")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blockedOutput{release: make(chan struct{})}
+		defer close(out.release)
+		w := New(out)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- w.Run(ctx) }()
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+		cancel()
+		select {
+		case err := <-ended:
+			is.Equal(err, context.Canceled)
+		case <-time.After(5 * time.Second):
+			t.Fatal("Run did not return although its context ended")
+		}
+	})
 }
 
 // Guards against last lines that are lost although they are being read, only slowly.
 func TestLastLinesAreReadSlowly(t *testing.T) {
-	is := is.New(t)
-	var written int
-	out := writerFunc(func(p []byte) (int, error) {
-		time.Sleep(finalFlushTimeout / 6)
-		written += len(p)
-		return len(p), nil
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var written int
+		out := writerFunc(func(p []byte) (int, error) {
+			time.Sleep(finalFlushTimeout / 6)
+			written += len(p)
+			return len(p), nil
+		})
+		w := New(out)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		lines := bytes.Repeat([]byte("event=last\n"), 4*writeSize/11)
+		_, _ = w.Write(lines)
+		is.True(w.Run(ctx) != nil)
+		flushed := written
+		time.Sleep(time.Second) // Writes that Run did not wait for end.
+		is.Equal(flushed, len(lines))
 	})
-	w := New(out)
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	lines := bytes.Repeat([]byte("event=last\n"), 4*writeSize/11)
-	_, _ = w.Write(lines)
-	is.True(w.Run(ctx) != nil)
-	is.Equal(written, len(lines))
 }
 
 type writerFunc func(p []byte) (int, error)
