Run tests of hubs with the clock of synctest

Cause: the daemons of these tests are in memory, but their clock was the real one. Bounds such as the 2 s for a change, and the 30 ms in which TestMirrorTellsOfLoss tells an answer from none, included the time for which goroutines waited for the processor. Change: TestChangesReachAllDaemons, TestCallsDoNotGrowWithDaemons, TestHubChangesAfterOutage, TestLargeSnapshotComesInParts, TestMirrorTellsOfLoss, TestChangesPassWhileContactFlaps and TestPauseAfterFailure run with the clock of testing/synctest; the cluster waits for the end of its streams. All bounds are unchanged.

--- a/internal/mangohub/cluster_test.go
+++ b/internal/mangohub/cluster_test.go
@@ -145,6 +145,8 @@
 type testCluster struct {
 	store   *testStore
 	daemons map[string]*testDaemon
+	// streams counts the goroutines that serve streams.
+	streams sync.WaitGroup
 	mu      sync.Mutex
 	members []mangostate.Member
 }
@@ -184,7 +186,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &testStream{updates: make(chan *mangomessage.FollowUpdate), ctx: ctx, cancel: cancel}
-	go func() {
+	c.streams.Go(func() {
 		defer cancel()
 		_ = hub.server.Serve(ctx, request, func(u *mangomessage.FollowUpdate) error {
 			for hub.frozen.Load() && ctx.Err() == nil {
@@ -200,7 +202,7 @@
 				return nil
 			}
 		})
-	}()
+	})
 	return s, nil
 }
 
@@ -210,7 +212,8 @@
 	return l
 }
 
-// newTestCluster starts daemons in data centres, the first two of each as its hubs, and waits until all follow one.
+// newTestCluster starts daemons in data centres, the first two of each as its hubs, and waits until all follow one. Tests run it with
+// the clock of synctest, so that the bounds on times hold however long goroutines wait for the processor.
 func newTestCluster(t *testing.T, dataCentres, daemons int) *testCluster {
 	t.Helper()
 	c := &testCluster{store: newTestStore(), daemons: map[string]*testDaemon{}}
@@ -242,6 +245,7 @@
 	t.Cleanup(func() {
 		cancel()
 		group.Wait()
+		c.streams.Wait()
 	})
 	c.eventually(t, "all daemons follow a hub", 10*time.Second, func() bool {
 		for _, d := range c.daemons {
--- a/internal/mangohub/contact_test.go
+++ b/internal/mangohub/contact_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -186,27 +187,31 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d, u := &testDaemon{}, &testUpstream{}
+				d.seat.Store(-1)
+				r := NewReader(nil, NewMirror(), d, u, WithReaderLogger(quietLogger()))
+				r.retryPause, r.failedAt = 2*time.Second, time.Now()
+				timer := time.AfterFunc(50*time.Millisecond, func() { tt.change(r, d, u) })
+				defer timer.Stop()
+				start := time.Now()
+				r.pauseAfterFailure(t.Context(), start)
+				is.Equal(time.Since(start) < 900*time.Millisecond, tt.short)
+			})
+		})
+	}
+	t.Run("an earlier outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			d, u := &testDaemon{}, &testUpstream{}
+			d := &testDaemon{}
 			d.seat.Store(-1)
-			r := NewReader(nil, NewMirror(), d, u, WithReaderLogger(quietLogger()))
-			r.retryPause, r.failedAt = 2*time.Second, time.Now()
-			timer := time.AfterFunc(50*time.Millisecond, func() { tt.change(r, d, u) })
-			defer timer.Stop()
+			r := NewReader(nil, NewMirror(), d, &testUpstream{}, WithReaderLogger(quietLogger()))
+			r.retryPause, r.failedAt = maxUnseatedRetryPause, time.Now().Add(-time.Minute)
 			start := time.Now()
 			r.pauseAfterFailure(t.Context(), start)
-			is.Equal(time.Since(start) < 900*time.Millisecond, tt.short)
+			is.True(time.Since(start) < time.Second)
 		})
-	}
-	t.Run("an earlier outage", func(t *testing.T) {
-		is := is.New(t)
-		d := &testDaemon{}
-		d.seat.Store(-1)
-		r := NewReader(nil, NewMirror(), d, &testUpstream{}, WithReaderLogger(quietLogger()))
-		r.retryPause, r.failedAt = maxUnseatedRetryPause, time.Now().Add(-time.Minute)
-		start := time.Now()
-		r.pauseAfterFailure(t.Context(), start)
-		is.True(time.Since(start) < time.Second)
 	})
 }
 
--- a/internal/mangohub/hub_change_test.go
+++ b/internal/mangohub/hub_change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -28,48 +29,50 @@
 // Guards against a daemon that takes each change of hubs for a loss of the store and for its return, since its own call had
 // failed in an outage that is long over. It would keep entries that are removed after that.
 func TestHubChangesAfterOutage(t *testing.T) {
-	is := is.New(t)
-	c := newTestCluster(t, 1, 3)
-	hubs, follower := []string{daemonName(0, 0), daemonName(0, 1)}, c.daemons[daemonName(0, 2)]
-	for _, name := range append(hubs, follower.member.Name) {
-		c.store.setCut(name)
-	}
-	c.eventually(t, "all daemons have tried the store themselves", 10*time.Second, func() bool {
-		for _, d := range c.daemons {
-			if reached, _ := d.mirror.Contact(); reached || !d.mirror.lastOwnCallFailed() {
-				return false
-			}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTestCluster(t, 1, 3)
+		hubs, follower := []string{daemonName(0, 0), daemonName(0, 1)}, c.daemons[daemonName(0, 2)]
+		for _, name := range append(hubs, follower.member.Name) {
+			c.store.setCut(name)
 		}
-		return true
-	})
-	c.store.setUncut(hubs...)
-	c.eventually(t, "the follower hears from a hub that reaches the store", 10*time.Second, func() bool {
-		// A change ends the watches that began while nothing changed.
-		c.store.change("key")
-		return follower.follower.Link().Confirmed(time.Now())
-	})
-	time.Sleep(2*roleCheckInterval + ownFailureLifetime)
-	c.store.setUncut(follower.member.Name)
-	_, backAt := follower.mirror.Contact()
-	is.True(!backAt.IsZero())
-	for range 3 {
-		var followed *testDaemon
-		c.eventually(t, "the follower has a hub", 5*time.Second, func() bool {
-			followed = c.daemons[follower.follower.Link().Hub]
-			return followed != nil
-		})
-		followed.down.Store(true)
-		// A change makes the hub notice that its stream has ended.
-		revision := c.store.change("key")
-		c.eventually(t, "the follower has the change by another hub", 5*time.Second, func() bool {
-			if reached, _ := follower.mirror.Contact(); !reached {
-				t.Fatal("a change of hubs was taken for a loss of the store")
+		c.eventually(t, "all daemons have tried the store themselves", 10*time.Second, func() bool {
+			for _, d := range c.daemons {
+				if reached, _ := d.mirror.Contact(); reached || !d.mirror.lastOwnCallFailed() {
+					return false
+				}
 			}
-			link := follower.follower.Link()
-			return link.Hub != "" && link.Hub != followed.member.Name && link.Confirmed(time.Now()) && follower.mirror.Revision() >= revision
+			return true
 		})
-		followed.down.Store(false)
-		_, now := follower.mirror.Contact()
-		is.Equal(now, backAt)
-	}
+		c.store.setUncut(hubs...)
+		c.eventually(t, "the follower hears from a hub that reaches the store", 10*time.Second, func() bool {
+			// A change ends the watches that began while nothing changed.
+			c.store.change("key")
+			return follower.follower.Link().Confirmed(time.Now())
+		})
+		time.Sleep(2*roleCheckInterval + ownFailureLifetime)
+		c.store.setUncut(follower.member.Name)
+		_, backAt := follower.mirror.Contact()
+		is.True(!backAt.IsZero())
+		for range 3 {
+			var followed *testDaemon
+			c.eventually(t, "the follower has a hub", 5*time.Second, func() bool {
+				followed = c.daemons[follower.follower.Link().Hub]
+				return followed != nil
+			})
+			followed.down.Store(true)
+			// A change makes the hub notice that its stream has ended.
+			revision := c.store.change("key")
+			c.eventually(t, "the follower has the change by another hub", 5*time.Second, func() bool {
+				if reached, _ := follower.mirror.Contact(); !reached {
+					t.Fatal("a change of hubs was taken for a loss of the store")
+				}
+				link := follower.follower.Link()
+				return link.Hub != "" && link.Hub != followed.member.Name && link.Confirmed(time.Now()) && follower.mirror.Revision() >= revision
+			})
+			followed.down.Store(false)
+			_, now := follower.mirror.Contact()
+			is.Equal(now, backAt)
+		}
+	})
 }
--- a/internal/mangohub/hub_test.go
+++ b/internal/mangohub/hub_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -66,49 +67,53 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			c := newTestCluster(t, 3, 5)
-			tt.fault(c)
-			// The first change may come at the same time as the fault, the second one when the daemons have settled.
-			for i := range 2 {
-				revision := c.store.change(fmt.Sprint("key", i))
-				c.eventually(t, fmt.Sprintf("change %d reaches all that reach the store", i), maxPropagation, func() bool {
-					return len(c.lagging(revision, false)) == 0
-				})
-				c.eventually(t, fmt.Sprintf("change %d reaches all", i), maxSettling, func() bool {
-					return len(c.lagging(revision, true)) == 0
-				})
-			}
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCluster(t, 3, 5)
+				tt.fault(c)
+				// The first change may come at the same time as the fault, the second one when the daemons have settled.
+				for i := range 2 {
+					revision := c.store.change(fmt.Sprint("key", i))
+					c.eventually(t, fmt.Sprintf("change %d reaches all that reach the store", i), maxPropagation, func() bool {
+						return len(c.lagging(revision, false)) == 0
+					})
+					c.eventually(t, fmt.Sprintf("change %d reaches all", i), maxSettling, func() bool {
+						return len(c.lagging(revision, true)) == 0
+					})
+				}
+			})
 		})
 	}
 }
 
 // Guards against calls to the store whose number grows with the number of daemons.
 func TestCallsDoNotGrowWithDaemons(t *testing.T) {
-	const changes = 15
-	calls := map[int]int{}
-	for _, daemons := range []int{3, 30} {
-		c := newTestCluster(t, 3, daemons)
-		// The daemons settle, each with its hub.
-		time.Sleep(2 * settleTime)
-		c.store.mu.Lock()
-		before := c.store.watches + c.store.snapshots
-		c.store.mu.Unlock()
-		var revision uint64
-		for i := range changes {
-			revision = c.store.change(fmt.Sprint(i))
-			time.Sleep(100 * time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		const changes = 15
+		calls := map[int]int{}
+		for _, daemons := range []int{3, 30} {
+			c := newTestCluster(t, 3, daemons)
+			// The daemons settle, each with its hub.
+			time.Sleep(2 * settleTime)
+			c.store.mu.Lock()
+			before := c.store.watches + c.store.snapshots
+			c.store.mu.Unlock()
+			var revision uint64
+			for i := range changes {
+				revision = c.store.change(fmt.Sprint(i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.eventually(t, "all daemons have all changes", maxPropagation, func() bool { return len(c.lagging(revision, false)) == 0 })
+			c.store.mu.Lock()
+			calls[daemons] = c.store.watches + c.store.snapshots - before
+			c.store.mu.Unlock()
 		}
-		c.eventually(t, "all daemons have all changes", maxPropagation, func() bool { return len(c.lagging(revision, false)) == 0 })
-		c.store.mu.Lock()
-		calls[daemons] = c.store.watches + c.store.snapshots - before
-		c.store.mu.Unlock()
-	}
-	// One daemon reads, with at most one call for each change and one that waits.
-	for daemons, n := range calls {
-		if n > changes+1 {
-			t.Errorf("%d calls for %d changes with %d daemons", n, changes, 3*daemons)
+		// One daemon reads, with at most one call for each change and one that waits.
+		for daemons, n := range calls {
+			if n > changes+1 {
+				t.Errorf("%d calls for %d changes with %d daemons", n, changes, 3*daemons)
+			}
 		}
-	}
+	})
 }
 
 // Guards against two daemons that each take the other for the source of the store's changes, and against hubs that wait for
@@ -316,45 +321,49 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			m := NewMirror()
-			m.Load(nil, 1)
-			tt.change(m)
-			for _, want := range tt.want {
-				start := time.Now()
-				_, _, err := m.Watch(t.Context(), 1, 30*time.Millisecond)
-				got := "nothing"
-				switch {
-				case err != nil:
-					got = "loss"
-				case time.Since(start) < 30*time.Millisecond:
-					got = "answer"
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := NewMirror()
+				m.Load(nil, 1)
+				tt.change(m)
+				for _, want := range tt.want {
+					start := time.Now()
+					_, _, err := m.Watch(t.Context(), 1, 30*time.Millisecond)
+					got := "nothing"
+					switch {
+					case err != nil:
+						got = "loss"
+					case time.Since(start) < 30*time.Millisecond:
+						got = "answer"
+					}
+					is.Equal(got, want)
 				}
-				is.Equal(got, want)
-			}
+			})
 		})
 	}
 }
 
 // Guards against changes that a daemon never gets because the contact to the store comes and goes faster than it asks.
 func TestChangesPassWhileContactFlaps(t *testing.T) {
-	is := is.New(t)
-	m := NewMirror()
-	m.Load(nil, 1)
-	after := uint64(1)
-	for revision := uint64(2); revision < 10; revision++ {
-		m.Append([]Item{{Key: "k", Revision: revision}}, revision)
-		// Each change takes two calls at most: one that tells of a loss, and one that brings it.
-		for call := 0; after < revision; call++ {
-			is.True(call < 2)
-			m.SetOwnContact(false)
-			m.SetOwnContact(true)
-			m.SetOwnContact(false)
-			if _, next, err := m.Watch(t.Context(), after, time.Second); err == nil {
-				after = next
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := NewMirror()
+		m.Load(nil, 1)
+		after := uint64(1)
+		for revision := uint64(2); revision < 10; revision++ {
+			m.Append([]Item{{Key: "k", Revision: revision}}, revision)
+			// Each change takes two calls at most: one that tells of a loss, and one that brings it.
+			for call := 0; after < revision; call++ {
+				is.True(call < 2)
+				m.SetOwnContact(false)
+				m.SetOwnContact(true)
+				m.SetOwnContact(false)
+				if _, next, err := m.Watch(t.Context(), after, time.Second); err == nil {
+					after = next
+				}
 			}
 		}
-	}
+	})
 }
 
 // Guards against a load of the fleet that counts daemons twice or keeps those that have ended.
@@ -416,22 +425,24 @@
 
 // Guards against a snapshot that is too large for one message and so never reaches a follower.
 func TestLargeSnapshotComesInParts(t *testing.T) {
-	is := is.New(t)
-	c := newTestCluster(t, 1, 2)
-	hub := c.daemons["d0-00"]
-	var items []Item
-	for i := range 9 {
-		items = append(items, Item{Key: fmt.Sprint("large", i), Value: make([]byte, 700<<10), Revision: uint64(100 + i)})
-	}
-	hub.mirror.Load(items, 200)
-	follower := NewMirror()
-	f := NewFollower(mangostate.Member{Name: "new", DataCentre: "0"}, c, c, follower, c.daemons["d0-01"], WithFollowerLogger(quietLogger()))
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- f.Run(ctx) }()
-	c.eventually(t, "the follower has everything", 5*time.Second, func() bool { return follower.Revision() == 200 })
-	all, _ := follower.All()
-	is.Equal(len(all), len(items))
-	cancel()
-	is.Equal(<-ended, context.Canceled)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newTestCluster(t, 1, 2)
+		hub := c.daemons["d0-00"]
+		var items []Item
+		for i := range 9 {
+			items = append(items, Item{Key: fmt.Sprint("large", i), Value: make([]byte, 700<<10), Revision: uint64(100 + i)})
+		}
+		hub.mirror.Load(items, 200)
+		follower := NewMirror()
+		f := NewFollower(mangostate.Member{Name: "new", DataCentre: "0"}, c, c, follower, c.daemons["d0-01"], WithFollowerLogger(quietLogger()))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		c.eventually(t, "the follower has everything", 5*time.Second, func() bool { return follower.Revision() == 200 })
+		all, _ := follower.All()
+		is.Equal(len(all), len(items))
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
 }
