Run calls of the driver's tests with the clock of synctest

Cause: the tests of the driver have step timeouts of 2 to 10 ms, which a busy machine can exceed before a fake engine is asked, and require exact numbers of attempts. Change: the calls run with the clock of testing/synctest. A cancelled call is cancelled in its test, since a context of another one cannot be waited for there. Measured: found by reading.

--- a/internal/mangocall/driver_test.go
+++ b/internal/mangocall/driver_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -48,12 +49,15 @@
 	return New(fl, fl, fl, all...)
 }
 
-// runTestCall runs a call on a fleet and checks that all chosen replicas were released.
-func runTestCall(t *testing.T, fl *fakeFleet, sink *textSink, opts ...Option) (Result, error) {
+// runTestCall runs a call on a fleet and checks that all chosen replicas were released. The clock is that of synctest, so that
+// no step times out for lack of processor time.
+func runTestCall(t *testing.T, fl *fakeFleet, sink *textSink, opts ...Option) (result Result, err error) {
 	t.Helper()
-	d := testDriver(fl, opts...)
-	result, err := d.Run(t.Context(), testCall(), sink)
-	d.Wait()
+	synctest.Test(t, func(t *testing.T) {
+		d := testDriver(fl, opts...)
+		result, err = d.Run(t.Context(), testCall(), sink)
+		d.Wait()
+	})
 	for host, inFlight := range fl.inFlight {
 		if inFlight != 0 {
 			t.Errorf("%d attempts are still counted as in flight on host %s after the call", inFlight, host)
@@ -195,34 +199,39 @@
 			return ""
 		}
 	}
-	cancelled, cancel := context.WithCancel(t.Context())
-	cancel()
 	cases := []struct {
-		name    string
-		ctx     context.Context
-		fault   faultFunc
-		kind    Kind
-		outcome Outcome
+		name      string
+		cancelled bool
+		fault     faultFunc
+		kind      Kind
+		outcome   Outcome
 	}{
-		{"all hosts refuse", t.Context(), always("Open", "Refuse"), KindUpstream, NotRun},
-		{"cancelled before the start", cancelled, noFaults, KindCancelled, NotRun},
-		{"budget used up", t.Context(), always("Step", "HangBefore"), KindUpstream, Unknown},
-		{"quarantined after a crash", t.Context(), always("Step", "Crash"), KindQuarantine, Rejected},
+		{"all hosts refuse", false, always("Open", "Refuse"), KindUpstream, NotRun},
+		{"cancelled before the start", true, noFaults, KindCancelled, NotRun},
+		{"budget used up", false, always("Step", "HangBefore"), KindUpstream, Unknown},
+		{"quarantined after a crash", false, always("Step", "Crash"), KindQuarantine, Rejected},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			fl := newFakeFleet(2, c.fault)
-			d := testDriver(fl, WithRetryBudget(NewRetryBudget(0, 2, 2)), WithAttempts(100, 3), WithSuspectCheck(func(string) error {
-				return &Error{Kind: KindQuarantine, Outcome: Rejected}
-			}))
-			result, err := d.Run(c.ctx, testCall(), &textSink{})
-			d.Wait()
-			var known *Error
-			is.True(errors.As(err, &known))
-			is.Equal(known.Kind, c.kind)
-			is.Equal(known.Outcome, c.outcome)
-			is.True(result.Attempts <= 5)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fl := newFakeFleet(2, c.fault)
+				d := testDriver(fl, WithRetryBudget(NewRetryBudget(0, 2, 2)), WithAttempts(100, 3), WithSuspectCheck(func(string) error {
+					return &Error{Kind: KindQuarantine, Outcome: Rejected}
+				}))
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.cancelled {
+					cancel()
+				}
+				result, err := d.Run(ctx, testCall(), &textSink{})
+				d.Wait()
+				var known *Error
+				is.True(errors.As(err, &known))
+				is.Equal(known.Kind, c.kind)
+				is.Equal(known.Outcome, c.outcome)
+				is.True(result.Attempts <= 5)
+			})
 		})
 	}
 }
