Leave callers the time of a busy machine in tests of servers

Cause: the gateway of all tests had a read timeout of 200 ms, although two are about it. Calls of the load tool were abandoned 400 ms after their intended time and late after 300 ms in tests that require an answer, or one on time. TestGracefulStop slept for 50 ms, in which its request had to arrive. Change: only TestSlowBodyIsCutOff and TestTokensAreFlushedAtOnce have a short read timeout, now 1 s; the grace period and the deadline of the load tool are 10 s there, as in TestOutcomesAreToldApart; TestGracefulStop waits until its request is being executed. Measured: found by reading.

--- a/internal/mangogateway/gateway_test.go
+++ b/internal/mangogateway/gateway_test.go
@@ -48,11 +48,16 @@
 	return mangocall.Result{FinishReason: "stop", Tokens: 2}, nil
 }
 
-// startGateway serves a gateway on a free port and returns its URL.
+// startGateway serves a gateway on a free port and returns its URL. Its read timeout is long enough for a busy machine.
 func startGateway(t *testing.T, f fakeHandlers) string {
+	t.Helper()
+	return startGatewayWithReadTimeout(t, f, time.Minute)
+}
+
+func startGatewayWithReadTimeout(t *testing.T, f fakeHandlers, readTimeout time.Duration) string {
 	t.Helper()
 	settings := &mangomessage.CallerSettings{
-		Address: "127.0.0.1:0", MaxBody: 4096, MaxHeader: 4096, MaxConnections: 8, ReadTimeout: 200,
+		Address: "127.0.0.1:0", MaxBody: 4096, MaxHeader: 4096, MaxConnections: 8, ReadTimeout: readTimeout.Milliseconds(),
 	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -242,17 +247,18 @@
 // timeout.
 func TestTokensAreFlushedAtOnce(t *testing.T) {
 	is := is.New(t)
+	const readTimeout = time.Second
 	next := make(chan struct{})
-	url := startGateway(t, fakeHandlers{complete: func(ctx context.Context, _ Completion, s mangocall.Sink) (mangocall.Result, error) {
+	url := startGatewayWithReadTimeout(t, fakeHandlers{complete: func(ctx context.Context, _ Completion, s mangocall.Sink) (mangocall.Result, error) {
 		_ = s.Token("one")
 		select {
 		case <-next:
-		case <-time.After(2 * time.Second): // the first token was not flushed
+		case <-time.After(20 * time.Second): // the first token was not flushed
 			return mangocall.Result{}, errors.New("no reader")
 		}
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(readTimeout + 100*time.Millisecond)
 		return mangocall.Result{FinishReason: "stop"}, ctx.Err()
-	}})
+	}}, readTimeout)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"p","stream":true}`))
 	is.NoErr(err)
 	r.Header.Set("Authorization", "Bearer test-key")
@@ -271,13 +277,13 @@
 // Guards against a caller that sends its body slowly and so holds a connection.
 func TestSlowBodyIsCutOff(t *testing.T) {
 	is := is.New(t)
-	url := startGateway(t, fakeHandlers{})
+	url := startGatewayWithReadTimeout(t, fakeHandlers{}, time.Second)
 	connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", strings.TrimPrefix(url, "http://"))
 	is.NoErr(err)
 	defer func() { _ = connection.Close() }()
 	_, err = io.WriteString(connection, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer test-key\r\nContent-Length: 100\r\n\r\n{")
 	is.NoErr(err)
-	is.NoErr(connection.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	is.NoErr(connection.SetReadDeadline(time.Now().Add(20 * time.Second)))
 	data, err := io.ReadAll(connection)
 	is.NoErr(err) // closed by the gateway, not by the deadline of the test
 	is.True(strings.HasPrefix(string(data), "HTTP/1.1 400"))
--- a/internal/mangoload/generator_test.go
+++ b/internal/mangoload/generator_test.go
@@ -111,7 +111,9 @@
 		answerStream(w, r, "")
 	}))
 	defer server.Close()
-	total := New(testPlan(server.URL)).Run(context.Background()).Total
+	plan := testPlan(server.URL)
+	plan.GraceMs = 10_000 // On a busy machine no call may be abandoned.
+	total := New(plan).Run(context.Background()).Total
 	is.True(maxRunning.Load() > 1)
 	is.True(total.Latency.P50 >= 200)
 	is.True(total.FirstToken.P50 >= 200)
@@ -123,7 +125,9 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answerStream(w, r, "") }))
 	defer server.Close()
-	g := New(testPlan(server.URL))
+	plan := testPlan(server.URL)
+	plan.GraceMs = 10_000
+	g := New(plan)
 	defer g.client.CloseIdleConnections()
 	r := g.sendWithRetries(context.Background(), g.plan.schedule()[0], time.Now().Add(-100*time.Millisecond))
 	is.Equal(r.outcome, Answered)
@@ -154,7 +158,7 @@
 			}))
 			defer server.Close()
 			plan := testPlan(server.URL)
-			plan.Kinds[0].Service, plan.Retry = true, RetryPolicy{Max: test.retries}
+			plan.Kinds[0].Service, plan.Kinds[0].DeadlineMs, plan.Retry = true, 10_000, RetryPolicy{Max: test.retries}
 			g := New(plan)
 			a := plan.withDefaults().schedule()[0]
 			r := g.sendWithRetries(context.Background(), a, time.Now())
--- a/internal/mangoservice/server_test.go
+++ b/internal/mangoservice/server_test.go
@@ -82,7 +82,14 @@
 		got, _ := call(t, server, "/book", "k", "{}")
 		status <- got
 	}()
-	time.Sleep(50 * time.Millisecond)
+	isRunning := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.running == 1
+	}
+	for until := time.Now().Add(20 * time.Second); !isRunning(); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(until))
+	}
 	s.Stop()
 	s.Run(context.Background())
 	s.mu.Lock()
