Leave connections the time of a busy machine in tests

Cause: answers that are invalid as a whole had to be read within 500 ms in TestEndlessHead, connections made within 1 s, and in TestIdleConnectionIsClosed a connection had to end within 700 ms for any reason but its time, or it expired first. In TestIdleLimits and three others a connection expired after 2 s. Change: only heads and bodies that come slowly have 500 ms, other reads 20 to 30 s. Connections that are not to expire are kept for the longest time that an upstream can state. Waits for conditions last up to 20 s.

--- a/internal/mangoconn/endless_test.go
+++ b/internal/mangoconn/endless_test.go
@@ -72,12 +72,17 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			address, written := serveOnce(t, tt.respond)
-			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", nil)
 			is.NoErr(err)
-			wait := NewReadWaiter(func(silent time.Duration) time.Duration { return 500*time.Millisecond - silent })
-			_, err = New().Exchange(ctx, address, request, time.Second, wait)
+			// Only a head that comes slowly ends by this time, which leaves a busy machine the time to read the others.
+			limit := 30 * time.Second
+			if tt.kind == KindTimeout {
+				limit = 500 * time.Millisecond
+			}
+			wait := NewReadWaiter(func(silent time.Duration) time.Duration { return limit - silent })
+			_, err = New().Exchange(ctx, address, request, 20*time.Second, wait)
 			is.True(err != nil)
 			is.Equal(KindOf(ctx, err), tt.kind)
 			// The rest are the buffers of the kernel.
@@ -90,14 +95,16 @@
 func TestTrickledBody(t *testing.T) {
 	is := is.New(t)
 	address, _ := serveOnce(t, repeat("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", "x", 10*time.Millisecond))
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/", nil)
 	is.NoErr(err)
-	wait := NewReadWaiter(func(silent time.Duration) time.Duration { return 500*time.Millisecond - silent })
-	response, err := New().Exchange(ctx, address, request, time.Second, wait)
+	limit := 20 * time.Second
+	wait := NewReadWaiter(func(silent time.Duration) time.Duration { return limit - silent })
+	response, err := New().Exchange(ctx, address, request, limit, wait)
 	is.NoErr(err)
 	defer response.Close()
+	limit = 500 * time.Millisecond // for the body
 	_, err = io.ReadAll(response.Body)
 	is.Equal(KindOf(ctx, err), KindTimeout)
 }
--- a/internal/mangoconn/head_test.go
+++ b/internal/mangoconn/head_test.go
@@ -45,12 +45,12 @@
 				_, _ = io.Copy(io.Discard, c)
 				return n
 			})
-			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader("hi"))
 			is.NoErr(err)
-			wait := NewReadWaiter(func(silent time.Duration) time.Duration { return 5*time.Second - silent })
-			response, err := New().Exchange(ctx, address, request, time.Second, wait)
+			wait := NewReadWaiter(func(silent time.Duration) time.Duration { return 20*time.Second - silent })
+			response, err := New().Exchange(ctx, address, request, 20*time.Second, wait)
 			if tt.status != 0 {
 				is.NoErr(err)
 				defer response.Close()
--- a/internal/mangoconn/pool_test.go
+++ b/internal/mangoconn/pool_test.go
@@ -18,7 +18,11 @@
 	"mangopath.org/mangopath/internal/mangoreplica"
 )
 
-const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+const (
+	whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	// kept is an answer after which a connection may be idle for long, so that it does not expire on a busy machine.
+	kept = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok"
+)
 
 // replicaServer answers each request of a connection with the next of its answers, or the last one from then on. An empty answer
 // resets the connection after the request was read.
@@ -128,13 +132,13 @@
 }
 
 func newWaiter() *ReadWaiter {
-	return NewReadWaiter(func(silent time.Duration) time.Duration { return 2*time.Second - silent })
+	return NewReadWaiter(func(silent time.Duration) time.Duration { return 20*time.Second - silent })
 }
 
 // open sends a request over a new connection and reads the head of its answer.
 func open(t *testing.T, p *Pool, e Endpoint) *Response {
 	t.Helper()
-	r, err := p.ExchangeNew(t.Context(), e, newRequest(e), time.Second, newWaiter())
+	r, err := p.ExchangeNew(t.Context(), e, newRequest(e), 20*time.Second, newWaiter())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -150,9 +154,9 @@
 
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
-	for until := time.Now().Add(3 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+	for until := time.Now().Add(20 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(until) {
-			t.Fatal("the condition did not come to hold in 3 s")
+			t.Fatal("the condition did not come to hold in 20 s")
 		}
 	}
 }
@@ -232,7 +236,7 @@
 	p := NewPool(New())
 	defer p.CloseIdle()
 	ctx, cancel := context.WithCancel(t.Context())
-	r, err := p.ExchangeNew(ctx, s.Endpoint, newRequest(s.Endpoint), time.Second, newWaiter())
+	r, err := p.ExchangeNew(ctx, s.Endpoint, newRequest(s.Endpoint), 20*time.Second, newWaiter())
 	is.NoErr(err)
 	cancel()
 	finish(r)
@@ -242,21 +246,22 @@
 // Guards against an idle connection that stays open, or is used, after it has ended, received bytes or expired, or when its
 // replica must get nothing.
 func TestIdleConnectionIsClosed(t *testing.T) {
+	const keptBriefly = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"
 	tests := []struct {
-		name   string
-		event  func(s *replicaServer, usable *bool)
-		reason IdleEnd
+		name, answer string
+		event        func(s *replicaServer, usable *bool)
+		reason       IdleEnd
 	}{
-		{"closed by the replica", func(s *replicaServer, _ *bool) { s.closeConns() }, IdleEnded},
-		{"extra answer", func(s *replicaServer, _ *bool) { s.write(whole) }, IdleUnexpectedBytes},
-		{"bytes that are no answer", func(s *replicaServer, _ *bool) { s.write("\x00\x01") }, IdleUnexpectedBytes},
-		{"stated time over", func(*replicaServer, *bool) {}, IdleExpired},
-		{"replica leaving or avoided", func(_ *replicaServer, usable *bool) { *usable = false }, IdleUnusable},
+		{"closed by the replica", kept, func(s *replicaServer, _ *bool) { s.closeConns() }, IdleEnded},
+		{"extra answer", kept, func(s *replicaServer, _ *bool) { s.write(whole) }, IdleUnexpectedBytes},
+		{"bytes that are no answer", kept, func(s *replicaServer, _ *bool) { s.write("\x00\x01") }, IdleUnexpectedBytes},
+		{"stated time over", keptBriefly, func(*replicaServer, *bool) {}, IdleExpired},
+		{"replica leaving or avoided", kept, func(_ *replicaServer, usable *bool) { *usable = false }, IdleUnusable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := newReplicaServer(t, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+			s := newReplicaServer(t, tt.answer)
 			var mu sync.Mutex
 			usable, ends := true, &idleEnds{}
 			p := NewPool(New(), WithPoolObserver(ends), WithUsable(func(Endpoint) bool {
@@ -280,7 +285,7 @@
 // at the time of use, the watcher would look up to usablePoll later.
 func TestUnusableAtUse(t *testing.T) {
 	is := is.New(t)
-	s := newReplicaServer(t, whole)
+	s := newReplicaServer(t, kept)
 	usable := make(chan struct{})
 	p := NewPool(New(), WithUsable(func(Endpoint) bool {
 		select {
@@ -326,7 +331,7 @@
 // arrives.
 func TestBrokenKeptConnection(t *testing.T) {
 	is := is.New(t)
-	s := newReplicaServer(t, whole, "")
+	s := newReplicaServer(t, kept, "")
 	p := NewPool(New())
 	defer p.CloseIdle()
 	finish(open(t, p, s.Endpoint))
@@ -338,7 +343,7 @@
 func TestAddressOfAnotherReplica(t *testing.T) {
 	for _, other := range []mangoreplica.Incarnation{{ID: "b", Born: 1}, {ID: "a", Born: 2}} {
 		is := is.New(t)
-		s := newReplicaServer(t, whole)
+		s := newReplicaServer(t, kept)
 		p := NewPool(New())
 		finish(open(t, p, s.Endpoint))
 		e := Endpoint{Replica: other, Address: s.Address}
@@ -356,7 +361,7 @@
 	p := NewPool(New(), WithPoolObserver(ends))
 	var servers []*replicaServer
 	for i := range 5 {
-		s := newReplicaServer(t, whole)
+		s := newReplicaServer(t, kept)
 		s.Replica.Born = int64(i)
 		servers = append(servers, s)
 		var open3 []*Response
