Show rings of hubs that have stopped reading the store

Cause: a daemon whose last call to the store had succeeded counted as reaching it itself, also after it had stopped reading. Right after a common start hubs could follow each other in a ring, each with an empty path, so none saw that its contact came from itself. Change: a daemon that does not read and whose hub has contact names its hub's path, apart from 100 ms after a call of its own.

--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -7,6 +7,8 @@
 	sameReturn = 500 * time.Millisecond
 	// ownFailureLifetime is the time for which a failed own call tells of the store while this daemon does not read it.
 	ownFailureLifetime = 2 * time.Second
+	// ownPathTime is the time after the last successful call for which a daemon that does not read the store counts as reaching it itself.
+	ownPathTime = 100 * time.Millisecond
 )
 
 // contact is what is known of the contact to the store on one way.
@@ -25,11 +27,13 @@
 	return contactFailed
 }
 
-// Path returns the daemons through which the contact to the store goes; empty if this daemon reaches it itself.
+// Path returns the daemons through which the contact to the store goes; empty if this daemon reaches it itself. A daemon that has stopped
+// reading the store has its contact through its hub, although its last call succeeded: hubs that have all stopped, and follow each other in a
+// ring, would otherwise take each other's word until it is too old.
 func (m *Mirror) Path() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ownContact() == contactMade {
+	if m.ownContact() == contactMade && (m.reading || m.hub != contactMade || m.now().Sub(m.ownAt) < ownPathTime) {
 		return nil
 	}
 	return m.hubPath
--- a/internal/mangohub/contact_test.go
+++ b/internal/mangohub/contact_test.go
@@ -229,3 +229,42 @@
 
 // IsPrimary implements Upstream.
 func (u *testUpstream) IsPrimary() bool { return false }
+
+// Guards against hubs that follow each other in a ring and have all stopped reading the store: each counted as reaching it itself, since
+// its last call had succeeded, so none saw that its contact came back to itself, and changes were missing for 1.7 s.
+func TestPathOfContact(t *testing.T) {
+	byHub := HubContact{Reached: true, Path: []string{"b", "c"}}
+	tests := []struct {
+		name  string
+		steps []contactStep
+		want  []string
+	}{
+		{"reads", []contactStep{
+			{0, func(m *Mirror) { m.SetReading(true) }},
+			{0, func(m *Mirror) { m.SetOwnContact(true) }},
+			{10 * time.Second, func(m *Mirror) { m.SetHubContact(byHub) }},
+		}, nil},
+		{"has stopped reading", []contactStep{
+			{0, func(m *Mirror) { m.SetReading(true) }},
+			{0, func(m *Mirror) { m.SetOwnContact(true) }},
+			{time.Second, func(m *Mirror) { m.SetHubContact(byHub) }},
+			{2 * time.Second, func(m *Mirror) { m.SetReading(false) }},
+		}, byHub.Path},
+		{"has just made a call without reading", []contactStep{
+			{0, func(m *Mirror) { m.SetHubContact(byHub) }}, {time.Second, func(m *Mirror) { m.SetOwnContact(true) }},
+		}, nil},
+		{"has stopped reading, hub without contact", []contactStep{
+			{0, func(m *Mirror) { m.SetOwnContact(true) }}, {time.Second, func(m *Mirror) { m.SetHubContact(HubContact{Path: []string{"b"}}) }},
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newContactFixture()
+			for _, s := range tt.steps {
+				f.play(s)
+			}
+			is.Equal(f.mirror.Path(), tt.want)
+		})
+	}
+}
