Do not take a refused watch of an earlier era for contact with the store

That refusal counted as contact and reset the retry pause, so the store never counted as lost in an outage right after a restore, and no deputy began.

--- a/internal/mangohub/item.go
+++ b/internal/mangohub/item.go
@@ -21,7 +21,7 @@
 	pack *packedValue
 }
 
-// Source reads the store. Errors are of type *mangostate.Error; after KindCompacted the caller must take a new snapshot.
+// Source reads the store. Errors are of type *mangostate.Error; after KindCompacted or KindRestored the caller must take a new snapshot.
 type Source interface {
 	// Snapshot returns all items and a revision from which a watch delivers all later changes. Unless fresh is set, they may be
 	// seconds old, which costs the store less.
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -129,7 +129,7 @@
 				pause = r.batchPause(now.Sub(lastChange))
 				lastChange = now
 			}
-		case isCompacted(err):
+		case needsSnapshot(err):
 			// The next snapshot is a fresh one: an old one could end before the history that the store still has.
 		default:
 			failed = true
@@ -137,7 +137,7 @@
 		if err == nil && (!snapshot || compacted) {
 			r.mirror.Confirm(revision, 0)
 		}
-		compacted = isCompacted(err)
+		compacted = needsSnapshot(err)
 		r.recordResult(err)
 		if failed {
 			r.pauseAfterFailure(ctx, now)
@@ -193,9 +193,13 @@
 // RecordCall records whether a call that another component of this daemon made reached the store.
 func (r *Reader) RecordCall(err error) { r.mirror.SetOwnContact(err == nil) }
 
-// recordResult records whether a call of Run reached the store. A compacted history shows that it did.
+// recordResult records whether a call of Run reached the store. A compacted history shows that it did. A refusal without a call shows
+// nothing: taken for contact, it would hide an outage in which snapshots fail after a restore.
 func (r *Reader) recordResult(err error) {
-	if isCompacted(err) {
+	if isKind(err, mangostate.KindRestored) {
+		return
+	}
+	if isKind(err, mangostate.KindCompacted) {
 		err = nil
 	}
 	r.RecordCall(err)
@@ -246,9 +250,14 @@
 	return maxUnseatedRetryPause
 }
 
-func isCompacted(err error) bool {
+// needsSnapshot reports whether no watch can lead on from the revision of the mirror.
+func needsSnapshot(err error) bool {
+	return isKind(err, mangostate.KindCompacted) || isKind(err, mangostate.KindRestored)
+}
+
+func isKind(err error, kind mangostate.Kind) bool {
 	var e *mangostate.Error
-	return errors.As(err, &e) && e.Kind == mangostate.KindCompacted
+	return errors.As(err, &e) && e.Kind == kind
 }
 
 // sleep waits for a duration; it reports false if the context ended first.
--- a/internal/mangostate/error.go
+++ b/internal/mangostate/error.go
@@ -10,6 +10,9 @@
 	KindStore Kind = iota + 1
 	// KindCompacted means that the store no longer keeps the changes after the requested revision.
 	KindCompacted
+	// KindRestored means that the requested revision is of an era before the latest known one. The store was not called, so it says
+	// nothing of whether the store is reachable.
+	KindRestored
 )
 
 // String returns the name of the kind as it appears in logs.
@@ -19,6 +22,8 @@
 		return "Store"
 	case KindCompacted:
 		return "History"
+	case KindRestored:
+		return "Restored"
 	default:
 		return fmt.Sprintf("Kind(%d)", int(k))
 	}
