--- a/internal/mangohub/duty.go
+++ b/internal/mangohub/duty.go
@@ -10,9 +10,9 @@
 	"mangopath.org/mangopath/internal/mangorevision"
 )
 
-// cancelWhenUnneeded calls cancel when the daemon no longer has to read the store, or when a restart of the watch was requested,
-// and returns true. It returns false when done is closed.
-func (r *Reader) cancelWhenUnneeded(done <-chan struct{}, cancel context.CancelFunc) bool {
+// cancelWhenUnneeded calls cancel when the daemon no longer has to read the store, or when the call is a watch and a restart of it was
+// requested, and returns true. It returns false when done is closed.
+func (r *Reader) cancelWhenUnneeded(done <-chan struct{}, cancel context.CancelFunc, snapshot bool) bool {
 	select {
 	case <-r.mirror.restart:
 		// Drops a restart that was requested before this call.
@@ -25,8 +25,12 @@
 		case <-done:
 			return false
 		case <-r.mirror.restart:
-			cancel()
-			return true
+			// A snapshot of many pages may take longer than a change is awaited, so cancelling it would repeat without end. Each of
+			// its calls has a timeout.
+			if !snapshot {
+				cancel()
+				return true
+			}
 		case <-tick.C:
 			if !r.hasDuty(time.Now()) {
 				cancel()
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -212,13 +212,14 @@
 		Warn("the store could not be read")
 }
 
-// read makes one call. It reports abandoned if the call was cancelled because it was no longer needed or seemed deaf.
+// read makes one call. It reports abandoned if the call was cancelled because it was no longer needed, or was a watch
+// that seemed deaf.
 func (r *Reader) read(ctx context.Context, snapshot, fresh bool) (items []Item, revision uint64, abandoned bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done, cancelled := make(chan struct{}), make(chan bool, 1)
 	go func() {
-		cancelled <- r.cancelWhenUnneeded(done, cancel)
+		cancelled <- r.cancelWhenUnneeded(done, cancel, snapshot)
 	}()
 	if snapshot {
 		items, revision, err = r.store.Snapshot(ctx, fresh)
