Keep the grace period of a restore through a change of hubs

Cause: replicas that the copy lacks are kept for 2.2 s after a restore. The start of that time was kept in returnedAt, which the next return of the contact overwrites. After a change of hubs that time may be zero or that of an earlier outage, so the replicas were dropped at once. Change: the time of the restore has a field of its own, restoredAt. returnedAt is as before, so nothing changes without a restore. Measured: TestGraceAfterRestoreSurvivesChangeOfHubs failed before, one run (dropped after 278 ms), and passed in 3 of 3 runs after. Tests of internal/mangostate pass, and of ./platform those that match StoreReturnsFromCopy|LeavingReplicaAfterHubChange|ControllerFollowsStore, one run each; the rest of ./platform was not run.

--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -34,6 +34,9 @@
 	// which may be before that answer, and zero if it never was.
 	reachable  bool
 	returnedAt time.Time
+	// restoredAt is when the first answer of the latest era came, and zero if there was one era only. It is apart from returnedAt,
+	// which a change of hubs may set back.
+	restoredAt time.Time
 	lastAnswer time.Time
 	revision   uint64
 	fleet      *mangoreplica.Fleet
@@ -76,17 +79,22 @@
 	if !s.synced || mangorevision.Era(revision) <= mangorevision.Era(s.revision) {
 		return
 	}
-	s.returnedAt = now
+	s.restoredAt = now
 	s.logger.WithFields(logrus.Fields{
 		"event": "store_restored", "revision": mangorevision.Text(revision), "previous": mangorevision.Text(s.revision),
 	}).Warn("the store has returned from a copy of an earlier state")
 }
 
 // absenceInconclusive reports whether the absence of an entry does not show that its replica is gone: the store is
-// unreachable, or was back less than recoveryGrace ago. The time counts from the return of the store and not from that of the
-// contact, which also ends and begins with a change of hubs.
+// unreachable, or was back or returned from a copy less than recoveryGrace ago. The time counts from the return of the store and not
+// from that of the contact, which also ends and begins with a change of hubs.
 func (s *state) absenceInconclusive(now time.Time) bool {
-	return !s.reachable || (!s.returnedAt.IsZero() && now.Sub(s.returnedAt) < s.recoveryGrace)
+	return !s.reachable || (!s.returnedAt.IsZero() && now.Sub(s.returnedAt) < s.recoveryGrace) || s.restoredLately(now)
+}
+
+// restoredLately reports whether the store returned from a copy less than recoveryGrace ago.
+func (s *state) restoredLately(now time.Time) bool {
+	return !s.restoredAt.IsZero() && now.Sub(s.restoredAt) < s.recoveryGrace
 }
 
 // applyAnswer applies an answer of the feed; it reports whether anything changed.
