Ignore entries of earlier starts in the grace period of a restore

Cause: the copy may have the entry of a start of a replica before the one that this daemon knows. It replaced the later entry, so requests went to the former address. At other times a lower Born is taken as before, since clocks can be set back.

--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -112,7 +112,7 @@
 			changed = s.updateTable(c.Table, now) || changed
 		case c.Replica != nil:
 			delete(s.invalid, c.Key)
-			replicas = s.updateReplica(c.Replica) || replicas
+			replicas = s.updateReplica(c.Replica, now) || replicas
 		case c.RemovedReplica != "":
 			replicas = s.removeReplica(c.RemovedReplica, now) || replicas
 		default:
@@ -198,8 +198,13 @@
 }
 
 // updateReplica takes the entry of a replica; it reports whether the entry changed.
-func (s *state) updateReplica(r *mangoreplica.Replica) bool {
+func (s *state) updateReplica(r *mangoreplica.Replica, now time.Time) bool {
 	old := s.replicas[r.ID]
+	if old != nil && r.Born < old.Born && s.restoredLately(now) {
+		// The copy has the entry of an earlier start, whose address may be out of date, and lacks that of the present one. At other
+		// times a lower Born is a start after the clock of the host was set back.
+		return s.removeReplica(r.ID, now)
+	}
 	delete(s.missing, r.ID)
 	// Draining is final for one start of a replica; only a later start under the same id takes requests again.
 	if old != nil && old.Draining && old.Born == r.Born {
