Revoke the lease of the copy at an orderly stop after a restore

Cause: Store.Revoke did nothing for a lease of an earlier era and returned no error, since its id may be that of another daemon's lease. If the copy has the lease, its key stayed held after an orderly stop until the lease expired. LeasedKey then looks the key up as it does before a renewal, and revokes the lease if owner and lease are its own. findRestored returns the fence instead of setting it, since a key that is given up may be acquired again meanwhile.

--- a/internal/mangolease/leasedkey.go
+++ b/internal/mangolease/leasedkey.go
@@ -212,7 +212,11 @@
 	sentAt := sinceBoot()
 	err := k.store.Renew(ctx, lease)
 	if isKind(err, mangostore.KindRestored) {
-		if err = k.findRestored(ctx, lease); err == nil {
+		var fence uint64
+		if fence, err = k.findRestored(ctx, lease); err == nil {
+			k.mu.Lock()
+			k.fence = fence
+			k.mu.Unlock()
 			sentAt = sinceBoot()
 			err = k.store.Renew(ctx, lease)
 		}
@@ -231,20 +235,17 @@
 	return &Error{Op: "Renew", Kind: KindStore, Err: err}
 }
 
-// findRestored looks for the key after the store has returned from a copy. If the copy has it with the lease of this daemon, it is held
-// under a new fencing number.
-func (k *LeasedKey) findRestored(ctx context.Context, lease uint64) error {
+// findRestored looks for the key after the store has returned from a copy. If the copy has it with the lease of this daemon, it returns
+// the new fencing number of the key.
+func (k *LeasedKey) findRestored(ctx context.Context, lease uint64) (uint64, error) {
 	item, err := k.store.Get(ctx, k.key)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if string(item.Value) != k.owner || item.LeaseID != lease {
-		return &mangostore.Error{Op: "Get", Kind: mangostore.KindLeaseLost, Err: errors.New("the store has returned from a copy without the lease")}
+		return 0, &mangostore.Error{Op: "Get", Kind: mangostore.KindLeaseLost, Err: errors.New("the store has returned from a copy without the lease")}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.fence = item.Version
-	return nil
+	return item.Version, nil
 }
 
 // acquire writes the key under a new lease, which fails if another daemon holds the key.
@@ -321,5 +322,10 @@
 	defer cancel()
 	// If the call fails the lease expires by itself.
 	err := k.store.Revoke(ctx, lease)
+	if isKind(err, mangostore.KindRestored) {
+		if _, err = k.findRestored(ctx, lease); err == nil {
+			err = k.store.Revoke(ctx, lease)
+		}
+	}
 	k.notify(err)
 }
