Survey the replicas before orders in the grace period of a restore

Cause: the entries of the copy show the layers that replicas held before their last orders. The holder of the placement planned by them until the replicas had written again, and a layer lost its last holder.

--- a/internal/mangolayout/placer.go
+++ b/internal/mangolayout/placer.go
@@ -131,6 +131,8 @@
 	tick := time.NewTicker(planInterval)
 	defer tick.Stop()
 	defer p.running.Wait()
+	// restoredUntil is the end of the last grace period after a restore of the store.
+	var restoredUntil time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,7 +146,13 @@
 			p.reset()
 			continue
 		}
-		if p.state.View().Reachable {
+		v := p.state.View()
+		if !v.RestoredUntil.Equal(restoredUntil) {
+			// The entries of the copy have replaced what the last survey found.
+			restoredUntil = v.RestoredUntil
+			p.endSurveys()
+		}
+		if v.Reachable && !time.Now().Before(restoredUntil) {
 			p.endSurveys()
 		} else if !p.layersKnown(ctx) {
 			continue
--- a/internal/mangolayout/survey.go
+++ b/internal/mangolayout/survey.go
@@ -17,9 +17,9 @@
 	surveyConcurrency = 16
 )
 
-// layersKnown reports whether a survey has read the layers of the replicas while the store is unreachable, and starts the
-// next one when it is due. Entries of the store do not show later orders, and another daemon may have sent the last ones,
-// so all replicas are asked.
+// layersKnown reports whether a survey has read the layers of the replicas while the store is unreachable or in the grace period
+// of a restore, and starts the next one when it is due. Entries of the store, or those of the copy, do not show later orders, and
+// another daemon may have sent the last ones, so all replicas are asked.
 func (p *Placer) layersKnown(ctx context.Context) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -30,7 +30,7 @@
 	return !p.lastSurvey.IsZero()
 }
 
-// endSurveys makes layersKnown wait for a new survey the next time that the store is unreachable.
+// endSurveys makes layersKnown wait for a new survey the next time that it is called.
 func (p *Placer) endSurveys() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -213,7 +213,7 @@
 		return
 	}
 	changed := c.state.setReachable(true, c.returnTime(), now)
-	c.state.recordRevision(a.revision, now)
+	changed = c.state.recordRevision(a.revision, now) || changed
 	changed = c.state.applyAnswer(a, now) || changed
 	c.state.revision, c.state.lastAnswer = a.revision, now
 	if changed || !c.state.synced {
--- a/internal/mangostate/restored_test.go
+++ b/internal/mangostate/restored_test.go
@@ -47,3 +47,23 @@
 	s.expire(now.Add(recoveryGrace))
 	is.Equal(s.fleet.Len(), 0)
 }
+
+// Guards against layers of the copy that are taken for the present ones of a replica, which has carried out an order since.
+func TestLayersOfCopyDoNotReplaceKnownOnes(t *testing.T) {
+	is := is.New(t)
+	s := newState(discardLogger(), recoveryGrace)
+	now := time.Unix(1000, 0)
+	entry := func(from, to int) []Change {
+		r := &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: 1, Layers: mangoreplica.LayerRange{From: from, To: to}}
+		return []Change{{Key: "servers/r", Replica: r}}
+	}
+	s.applyAnswer(answer{snapshot: true, changes: entry(0, 4), revision: mangorevision.Join(1, 93)}, now)
+	s.synced, s.revision = true, mangorevision.Join(1, 93)
+	restored := mangorevision.Join(2, 60)
+	s.recordRevision(restored, now)
+	s.applyAnswer(answer{snapshot: true, changes: entry(4, 8), revision: restored}, now)
+	is.Equal(s.fleet.ByID("r").Layers, mangoreplica.LayerRange{From: 0, To: 4})
+	// A later entry is one that the replica has written since.
+	s.applyAnswer(answer{changes: entry(2, 6), revision: restored + 1}, now.Add(time.Millisecond))
+	is.Equal(s.fleet.ByID("r").Layers, mangoreplica.LayerRange{From: 2, To: 6})
+}
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -74,15 +74,17 @@
 	return true
 }
 
-// recordRevision notices from the revision of an answer that the store has returned from a copy, also if no call has failed.
-func (s *state) recordRevision(revision uint64, now time.Time) {
+// recordRevision notices from the revision of an answer that the store has returned from a copy, also if no call has failed. It
+// reports whether it has.
+func (s *state) recordRevision(revision uint64, now time.Time) bool {
 	if !s.synced || mangorevision.Era(revision) <= mangorevision.Era(s.revision) {
-		return
+		return false
 	}
 	s.restoredAt = now
 	s.logger.WithFields(logrus.Fields{
 		"event": "store_restored", "revision": mangorevision.Text(revision), "previous": mangorevision.Text(s.revision),
 	}).Warn("the store has returned from a copy of an earlier state")
+	return true
 }
 
 // absenceInconclusive reports whether the absence of an entry does not show that its replica is gone: the store is
@@ -112,7 +114,7 @@
 			changed = s.updateTable(c.Table, now) || changed
 		case c.Replica != nil:
 			delete(s.invalid, c.Key)
-			replicas = s.updateReplica(c.Replica, now) || replicas
+			replicas = s.updateReplica(c.Replica, a.snapshot && s.restoredLately(now), now) || replicas
 		case c.RemovedReplica != "":
 			replicas = s.removeReplica(c.RemovedReplica, now) || replicas
 		default:
@@ -197,8 +199,8 @@
 	return true
 }
 
-// updateReplica takes the entry of a replica; it reports whether the entry changed.
-func (s *state) updateReplica(r *mangoreplica.Replica, now time.Time) bool {
+// updateReplica takes the entry of a replica, which may be out of date if it is fromCopy; it reports whether the entry changed.
+func (s *state) updateReplica(r *mangoreplica.Replica, fromCopy bool, now time.Time) bool {
 	old := s.replicas[r.ID]
 	if old != nil && r.Born < old.Born && s.restoredLately(now) {
 		// The copy has the entry of an earlier start, whose address may be out of date, and lacks that of the present one. At other
@@ -210,10 +212,21 @@
 	if old != nil && old.Draining && old.Born == r.Born {
 		r.Draining = true
 	}
+	var kept *layerOverride
+	if fromCopy && old != nil && old.Born == r.Born && old.Layers != r.Layers {
+		// The replica may have carried out orders since the copy. The layers known before count until it writes or reports others.
+		kept = &layerOverride{layers: old.Layers, at: now}
+		if o, ok := s.layerOverrides[r.ID]; ok {
+			kept.layers = o.layers
+		}
+	}
 	s.replicas[r.ID] = r
 	if old == nil || old.Layers != r.Layers || old.Born != r.Born {
 		delete(s.layerOverrides, r.ID)
 	}
+	if kept != nil {
+		s.layerOverrides[r.ID] = *kept
+	}
 	if old != nil && old.Born != r.Born {
 		delete(s.moving, r.ID)
 	}
@@ -299,8 +312,12 @@
 
 // view returns a view of the current state.
 func (s *state) view() *View {
+	var restoredUntil time.Time
+	if !s.restoredAt.IsZero() {
+		restoredUntil = s.restoredAt.Add(s.recoveryGrace)
+	}
 	return &View{
 		Table: s.table, Fleet: s.fleet, Members: membersFromKeys(s.keys), Synced: s.synced, Revision: s.revision,
-		LastAnswer: s.lastAnswer, Reachable: s.reachable, Fence: s.fence, keys: s.keys,
+		LastAnswer: s.lastAnswer, Reachable: s.reachable, Fence: s.fence, RestoredUntil: restoredUntil, keys: s.keys,
 	}
 }
--- a/internal/mangostate/view.go
+++ b/internal/mangostate/view.go
@@ -57,6 +57,9 @@
 	LastAnswer time.Time
 	// Reachable reports that the store answered the last call.
 	Reachable bool
+	// RestoredUntil is the end of the grace period after the store has returned from a copy, in which entries may be those of the
+	// copy; zero if it never has.
+	RestoredUntil time.Time
 	// Fence is the highest fencing number of any holder of PlacementKey so far; 0 if there was none.
 	Fence uint64
 	// keys has the keys that daemons write, with their values.
