--- a/internal/mangostate/restored_test.go
+++ b/internal/mangostate/restored_test.go
@@ -18,14 +18,14 @@
 	now := time.Unix(1000, 0)
 	earlier := &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: 1000}
 	later := &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:2", DataCentre: "d", Born: 9000}
-	s.applyAnswer(answer{snapshot: true, changes: []Change{{Key: "servers/r", Replica: later}}, revision: mangorevision.Join(1, 93)}, now)
+	s.applyAnswer(answer{snapshot: true, changes: []Change{{Key: "replicas/r", Replica: later}}, revision: mangorevision.Join(1, 93)}, now)
 	s.synced, s.revision = true, mangorevision.Join(1, 93)
 	restored := mangorevision.Join(2, 60)
 	s.recordRevision(restored, now)
-	s.applyAnswer(answer{snapshot: true, changes: []Change{{Key: "servers/r", Replica: earlier}}, revision: restored}, now)
+	s.applyAnswer(answer{snapshot: true, changes: []Change{{Key: "replicas/r", Replica: earlier}}, revision: restored}, now)
 	is.Equal(s.fleet.ByID("r").Address, later.Address)
 	// After the grace period, an entry with an earlier start is one of a host whose clock was set back.
-	s.applyAnswer(answer{changes: []Change{{Key: "servers/r", Replica: earlier}}, revision: restored + 1}, now.Add(recoveryGrace))
+	s.applyAnswer(answer{changes: []Change{{Key: "replicas/r", Replica: earlier}}, revision: restored + 1}, now.Add(recoveryGrace))
 	is.Equal(s.fleet.ByID("r").Address, earlier.Address)
 }
 
@@ -35,7 +35,7 @@
 	s := newState(discardLogger(), recoveryGrace)
 	now := time.Unix(1000, 0)
 	entry := func(born int64) []Change {
-		return []Change{{Key: "servers/r", Replica: &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: born}}}
+		return []Change{{Key: "replicas/r", Replica: &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: born}}}
 	}
 	s.applyAnswer(answer{snapshot: true, changes: entry(9000), revision: mangorevision.Join(1, 93)}, now)
 	s.synced, s.revision = true, mangorevision.Join(1, 93)
@@ -55,7 +55,7 @@
 	now := time.Unix(1000, 0)
 	entry := func(from, to int) []Change {
 		r := &mangoreplica.Replica{ID: "r", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: 1, Layers: mangoreplica.LayerRange{From: from, To: to}}
-		return []Change{{Key: "servers/r", Replica: r}}
+		return []Change{{Key: "replicas/r", Replica: r}}
 	}
 	s.applyAnswer(answer{snapshot: true, changes: entry(0, 4), revision: mangorevision.Join(1, 93)}, now)
 	s.synced, s.revision = true, mangorevision.Join(1, 93)
