Bound the handover of seats and the mistrust of hubs

Cause: a review of both found that the placement stayed with a host that had given up its seat, so that a store outage gave two placers under one fencing number; that both seats of a data centre could be given up at once; that a pause was forgotten with the hub that was followed; that a hub could be mistrusted without end, or for a finding that was right when made; that a hub without another monitor announced nothing for 10 s after a contradiction; and that a loss whose own result was Unknown was not withdrawn any more. Change: the placement is given up with the seat, and its holder takes part in the election; a request is made only while both seats are held and 2 s after the last one; a hub keeps its seat if the other one is free; requests to hubs that keep their seats become rare (1 to 10 min); a reach counts as a contradiction once, within a second of the failed check, and only if there is another monitor. The check of the store reads its revision and no key. A stop does not cut the calls short. TestCutOffWithRealSockets takes both kinds of time-outs of a connection.

--- a/internal/mangocheck/checker.go
+++ b/internal/mangocheck/checker.go
@@ -280,7 +280,11 @@
 // conclude acts on the verdict on a check and returns it.
 func (c *Checker) conclude(r *mangoreplica.Replica, result Result, took time.Duration) Verdict {
 	now := time.Now()
+	alone := len(mangoliveness.Monitors(r, c.state.View().Members)) < 2
 	c.mu.Lock()
+	if alone {
+		c.table.MarkOnlyMonitor(r.Incarnation())
+	}
 	verdict, requesters := c.table.Judge(r.Incarnation(), now)
 	mistrusted := c.table.Mistrusted(now)
 	c.mu.Unlock()
--- a/internal/mangocheck/checker_test.go
+++ b/internal/mangocheck/checker_test.go
@@ -264,3 +264,29 @@
 		})
 	}
 }
+
+// Guards against lost replicas of a data centre that nobody announces: the other monitor, which contradicted this hub, has ended, so that
+// nobody can confirm what this hub finds.
+func TestOnlyHubAnnouncesAfterContradiction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &fakeNetwork{err: os.ErrDeadlineExceeded}
+		var lost []string
+		c := newChecker(hubs()[0], n, hubs()[:1])
+		c.OnVerdict(func(r *mangoreplica.Replica, _ mangoreplica.Cause) { lost = append(lost, r.ID) }, func(*mangoreplica.Replica) {})
+		// The contradiction is by a hub that is no longer among the members; several witnesses were reached a moment ago.
+		now := time.Now()
+		c.table.contradictedAt = now
+		for i := 1; i < 6; i++ {
+			c.table.RecordWitness(replica(i), now)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = c.Run(ctx) }()
+		synctest.Wait()
+		c.HandleRequests(mangostate.Member{Name: "d"}, []mangoreplica.Incarnation{replica(0).Incarnation()})
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		is.Equal(lost, []string{"r-0"})
+	})
+}
--- a/internal/mangocheck/cutoff_test.go
+++ b/internal/mangocheck/cutoff_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -37,6 +36,12 @@
 
 func (noTopology) Hub() (mangostate.Member, bool) { return mangostate.Member{}, false }
 
+// isTimeout reports whether an attempt to connect timed out, by the deadline of its context or of its socket.
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // listenDark returns the address of a socket whose kernel drops attempts to connect, since its queue of connections is full.
 func listenDark(t *testing.T) string {
 	t.Helper()
@@ -60,7 +65,7 @@
 		case err == nil:
 			timeouts = 0
 			t.Cleanup(func() { _ = conn.Close() })
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case isTimeout(err):
 			if timeouts++; timeouts == 3 {
 				return l.Addr().String()
 			}
--- a/internal/mangocheck/table.go
+++ b/internal/mangocheck/table.go
@@ -82,8 +82,8 @@
 	startedAt, endedAt time.Time
 	result             Result
 	verdict            Verdict
-	// unwitnessed says that this hub could not reach any witness either.
-	unwitnessed bool
+	// unwitnessed says that this hub could not reach any witness either, and onlyMonitor that no other hub monitors the replica.
+	unwitnessed, onlyMonitor bool
 	// reachedByOther and missedByOther are when the other monitor last reached the replica, and last failed to.
 	reachedByOther, missedByOther time.Time
 }
@@ -153,7 +153,7 @@
 	list := make([]*mangoreplica.Replica, len(due))
 	for i, rec := range due {
 		rec.due, rec.running, rec.startedAt = time.Time{}, true, now
-		rec.result, rec.verdict, rec.unwitnessed = 0, 0, false
+		rec.result, rec.verdict, rec.unwitnessed, rec.onlyMonitor = 0, 0, false, false
 		list[i] = rec.replica
 	}
 	t.running += len(due)
@@ -230,17 +230,28 @@
 	}
 	rec.due = time.Time{}
 	clear(rec.requesters)
-	if rec.result != Unreachable || !at.After(rec.startedAt) || (rec.verdict != Lost && rec.verdict != Withheld) {
+	announced := rec.verdict == Lost
+	if !at.After(rec.startedAt) || rec.result == Ended || (!announced && rec.verdict != Withheld) {
 		return 0
 	}
-	t.contradictedAt = at
-	if rec.verdict == Withheld {
+	rec.verdict = Disputed
+	if rec.result == Unreachable && at.Sub(rec.endedAt) < cutOffWindow {
+		// Later, the replica may have been lost and come back.
+		t.contradictedAt = at
+	}
+	if !announced {
 		return 0
 	}
-	rec.verdict = Disputed
 	return Disputed
 }
 
+// MarkOnlyMonitor records that no other hub can confirm the loss of a replica.
+func (t *Table) MarkOnlyMonitor(r mangoreplica.Incarnation) {
+	if rec := t.records[r]; rec != nil {
+		rec.onlyMonitor = true
+	}
+}
+
 // Mistrusted reports whether this hub was contradicted within mistrustTime, so that it announces no loss alone.
 func (t *Table) Mistrusted(now time.Time) bool {
 	return !t.contradictedAt.IsZero() && now.Sub(t.contradictedAt) < mistrustTime
@@ -281,7 +292,7 @@
 		return Disputed
 	case t.confirmedByOther(rec):
 		return Lost
-	case rec.result == Unknown, rec.unwitnessed, t.Mistrusted(now), t.looksCutOff(now):
+	case rec.result == Unknown, rec.unwitnessed, !rec.onlyMonitor && t.Mistrusted(now), t.looksCutOff(now):
 		return Withheld
 	default:
 		return Lost
--- a/internal/mangocheck/table_test.go
+++ b/internal/mangocheck/table_test.go
@@ -311,3 +311,54 @@
 		})
 	}
 }
+
+// Guards against a hub that stays mistrusted although nothing contradicts it any more: a replica that it could not reach long ago, and
+// that only the other monitor has checked since, is no contradiction.
+func TestLateReachIsNoContradiction(t *testing.T) {
+	tests := []struct {
+		name    string
+		verdict Verdict
+		// reached are the times, in ms, at which the other monitor reaches the replica that this hub could not reach at 0 to 40.
+		reached []int
+		// judged is the time at which this hub is looked at.
+		judged int
+	}{
+		{"a lost replica that has come back", Lost, []int{20_000}, 20_500},
+		{"a withheld loss, then steady checks by the other monitor", Withheld, []int{60, 5_000, 10_000, 15_000, 20_000, 25_000, 30_000, 35_000}, 35_500},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, r := NewTable(), replica(0)
+			table.Request(r, requester("d"), 1, at(-30))
+			is.Equal(len(table.Start(at(0))), 1)
+			table.Finish(r.Incarnation(), Unreachable, at(40))
+			if tt.verdict == Withheld {
+				table.MarkUnwitnessed(r.Incarnation())
+			}
+			verdict, _ := table.Judge(r.Incarnation(), at(45))
+			is.Equal(verdict, tt.verdict)
+			for _, ms := range tt.reached {
+				// The first monitor answers the request before this one, the second monitor, begins.
+				table.Request(r, requester("d"), 1, at(ms-1))
+				table.RecordOther(r, true, at(ms))
+				is.Equal(len(table.Start(at(ms+100))), 0)
+			}
+			is.True(!table.Mistrusted(at(tt.judged)))
+		})
+	}
+}
+
+// Guards against a loss that stays announced although the other monitor has reached the replica: this hub had no result of its own and
+// announced the finding of the other monitor.
+func TestLossOfUnknownResultIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	table, r := NewTable(), replica(0)
+	table.Request(r, requester("d"), 0, at(0))
+	table.Start(at(0))
+	table.Finish(r.Incarnation(), Unknown, at(40))
+	table.RecordOther(r, false, at(42))
+	verdict, _ := table.Judge(r.Incarnation(), at(45))
+	is.Equal(verdict, Lost)
+	is.Equal(table.RecordOther(r, true, at(200)), Disputed)
+}
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -290,8 +290,11 @@
 	self mangostate.Member, placement placementLease, state *mangostate.Controller, contact *mangostate.Contact, seats *mangohub.Seats,
 	broadcaster *mangobroadcast.Broadcaster, logger *logrus.Logger,
 ) *mangodeputy.Deputy {
-	// Only hubs take part in the election.
-	storeUnreachable := func() bool { return seats.IsHub() && contact.Down() }
+	// Only hubs take part in the election, and the holder of the placement, which may have lost its seat.
+	storeUnreachable := func() bool {
+		_, holds := placement.Holds()
+		return (holds || seats.IsHub()) && contact.Down()
+	}
 	d := mangodeputy.New(self, placement, state, storeUnreachable, func(fence uint64, holder bool) {
 		broadcaster.AnnounceClaim(mangobroadcast.Claim{Fence: fence, Holder: holder})
 	}, mangodeputy.WithLogger(logger))
--- a/internal/mangoentry/provide_hub.go
+++ b/internal/mangoentry/provide_hub.go
@@ -42,14 +42,15 @@
 // provideHandover also makes the broadcaster deliver the requests of larger hosts for this daemon's seat.
 func provideHandover(
 	self mangostate.Member, s *mangomessage.RelaySettings, seats *mangohub.Seats, state *mangostate.Controller, follower *mangohub.Follower,
-	store *platform.Store, broadcaster *mangobroadcast.Broadcaster, metrics *mangometric.RelayMetrics, logger *logrus.Logger,
+	store *platform.Store, placement placementLease, broadcaster *mangobroadcast.Broadcaster, metrics *mangometric.RelayMetrics, logger *logrus.Logger,
 ) *mangohub.Handover {
 	reachesStore := func(ctx context.Context) bool {
-		_, err := store.Get(ctx, mangostate.SeatKey(self.DataCentre, 0))
+		_, err := store.Revision(ctx)
 		return err == nil
 	}
 	h := mangohub.NewHandover(
 		self, mangohub.IsLargeHost(s.GetHost().GetProcessorShare()), seats, state, follower, broadcaster, mangohub.WithStoreCheck(reachesStore),
+		mangohub.WithSeatGivenUp(placement.GiveUp),
 		mangohub.WithHandoverObserver(metrics.CountSeatRequest), mangohub.WithHandoverLogger(logger),
 	)
 	broadcaster.OnSeatRequest(h.HandleRequest)
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -66,7 +66,7 @@
 	monitor := provideMonitor(member, controller, relay, broadcaster, follower, checker, logger)
 	mangoentryPlacementLease := providePlacementLease(settings, member, mangoentryBootID, store, controller, contact, seats, logger)
 	deputy := provideDeputy(member, mangoentryPlacementLease, controller, contact, seats, broadcaster, logger)
-	handover := provideHandover(member, settings, seats, controller, follower, store, broadcaster, relayMetrics, logger)
+	handover := provideHandover(member, settings, seats, controller, follower, store, mangoentryPlacementLease, broadcaster, relayMetrics, logger)
 	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter, handover)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
 	mangoentryIngress := newIngress(relay, controller, shutdown, mangomemoryPool, logger)
--- a/internal/mangohub/handover.go
+++ b/internal/mangohub/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,9 +20,11 @@
 	// yieldTime is the time for which a daemon that gave up a seat takes none. It is longer than takeTime.
 	yieldTime = 3 * time.Second
 	// maxSeatRequests is the number of requests after which a hub that keeps its seat is asked again only after keptPause: it may be
-	// a large host itself. A request can get lost or come within minSeatTime, so there is more than one.
+	// a large host itself. The pause doubles each time, up to maxKeptPause. A request can get lost or come within minSeatTime, so
+	// there is more than one.
 	maxSeatRequests = 3
 	keptPause       = time.Minute
+	maxKeptPause    = 10 * time.Minute
 	// failedPause is the time without requests after a large host did not get a seat that was given up after its request. Another large
 	// host has it, or a small one: then each further request could only move seats between small hosts.
 	failedPause = 5 * time.Second
@@ -65,8 +68,10 @@
 	// reachesStore makes a call to the store, and reports whether it was answered: a seat cannot be given up or taken without it.
 	reachesStore func(ctx context.Context) bool
 	observe      func(result string)
-	logger       logrus.FieldLogger
-	requests     chan mangostate.Member
+	// onGivenUp is called after this daemon has given up its seat.
+	onGivenUp func(ctx context.Context)
+	logger    logrus.FieldLogger
+	requests  chan mangostate.Member
 
 	// The following fields belong to the goroutine of Run.
 	asks seatAsks
@@ -92,13 +97,18 @@
 	return func(h *Handover) { h.reachesStore = f }
 }
 
+// WithSeatGivenUp sets the function that gives up what only a hub may hold, after this daemon has given up its seat.
+func WithSeatGivenUp(f func(ctx context.Context)) HandoverOption {
+	return func(h *Handover) { h.onGivenUp = f }
+}
+
 // NewHandover returns the handover of the daemon self, whose host is large or small.
 func NewHandover(
 	self mangostate.Member, isLarge bool, seats *Seats, state State, link HubLink, requester SeatRequester, opts ...HandoverOption,
 ) *Handover {
 	h := &Handover{
 		self: self, isLarge: isLarge, seats: seats, state: state, link: link, requester: requester, reachesStore: func(context.Context) bool { return true },
-		observe: func(string) {}, logger: logrus.StandardLogger(), requests: make(chan mangostate.Member, 1), asks: newSeatAsks(),
+		observe: func(string) {}, onGivenUp: func(context.Context) {}, logger: logrus.StandardLogger(), requests: make(chan mangostate.Member, 1), asks: newSeatAsks(),
 	}
 	for _, o := range opts {
 		o(h)
@@ -145,17 +155,14 @@
 
 // askForSeat asks the next hub of the data centre for its seat if this host is large and has none.
 func (h *Handover) askForSeat(ctx context.Context, now time.Time) {
-	if _, follows := h.link.Hub(); !h.isLarge || h.seats.IsHub() || !follows {
+	if h.seats.IsHub() {
 		h.asks.last = mangostate.Member{}
 		return
 	}
-	var hubs []mangostate.Member
-	for _, m := range h.state.View().Members {
-		if m.DataCentre == h.self.DataCentre && m.Name != h.self.Name {
-			hubs = append(hubs, m)
-		}
+	if _, follows := h.link.Hub(); !h.isLarge || !follows {
+		return
 	}
-	hub, ok := h.asks.next(hubs, now)
+	hub, ok := h.asks.next(h.otherHubs(), now)
 	if !ok || !h.storeAnswers(ctx) {
 		return
 	}
@@ -166,6 +173,17 @@
 		Info("a hub of the data centre is asked for its seat, as this host is large")
 }
 
+// otherHubs returns the other daemons that hold a seat of the data centre.
+func (h *Handover) otherHubs() []mangostate.Member {
+	var hubs []mangostate.Member
+	for _, m := range h.state.View().Members {
+		if m.DataCentre == h.self.DataCentre && m.Name != h.self.Name {
+			hubs = append(hubs, m)
+		}
+	}
+	return hubs
+}
+
 // storeAnswers makes a call to the store that is bounded by storeTimeout.
 func (h *Handover) storeAnswers(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -179,16 +197,18 @@
 	if reason == "" && !h.storeAnswers(ctx) {
 		reason = "StoreLost"
 	}
-	entry := h.logger.WithFields(logrus.Fields{"asked_by": from.Name, "reason": reason})
 	if reason != "" {
 		h.observe(handoverKept)
-		entry.WithField("event", "seat_kept").Info("this daemon keeps its seat although another one asked for it")
+		h.logger.WithFields(logrus.Fields{"event": "seat_kept", "asked_by": from.Name, "reason": reason}).Info("this daemon keeps its seat although another one asked for it")
 		return
 	}
 	h.gaveUpAt = now
 	h.observe(handoverGivenUp)
-	entry.WithField("event", "seat_given_up").Info("this daemon gives up its seat to a larger host")
+	h.logger.WithFields(logrus.Fields{"event": "seat_given_up", "asked_by": from.Name}).Info("this daemon gives up its seat to a larger host")
+	// A stop does not cut the calls short: the seat would stay taken until its lease ends.
+	ctx = context.WithoutCancel(ctx)
 	h.seats.GiveUp(ctx)
+	h.onGivenUp(ctx)
 }
 
 // reasonToKeep returns why a request does not make this daemon give up its seat, or "" if it does.
@@ -204,6 +224,9 @@
 		return "NewSeat"
 	case !h.gaveUpAt.IsZero() && now.Sub(h.gaveUpAt) < handoverPause:
 		return "GaveUpLately"
+	case len(h.otherHubs()) == 0:
+		// The other seat may have been given up a moment ago.
+		return "OtherSeatFree"
 	default:
 		return ""
 	}
@@ -211,39 +234,45 @@
 
 // seatAsks decides which hub a large host without a seat asks next.
 type seatAsks struct {
-	// asked has the number of requests to each hub since the last pause, and pausedUntil the time before which it is not asked again.
-	asked       map[string]int
-	pausedUntil map[string]time.Time
-	// last is the hub that was asked last, at lastAt; empty if its seat counts no more.
+	// asked has the requests to each present hub.
+	asked map[string]seatAsk
+	// last is the hub that was asked last, at lastAt; empty once it is known what came of it.
 	last   mangostate.Member
 	lastAt time.Time
 	// failedUntil ends the pause after a seat was given up and another daemon took it.
 	failedUntil time.Time
 }
 
-func newSeatAsks() seatAsks {
-	return seatAsks{asked: map[string]int{}, pausedUntil: map[string]time.Time{}}
+// seatAsk has the requests to one hub since its last pause, the time before which it is not asked again, and the length of that pause.
+type seatAsk struct {
+	requests    int
+	pausedUntil time.Time
+	pause       time.Duration
 }
 
-// next returns the hub to ask now; ok is false if none is to be asked. hubs are those of the data centre.
+func newSeatAsks() seatAsks { return seatAsks{asked: map[string]seatAsk{}} }
+
+// next returns the hub to ask now; ok is false if none is to be asked. hubs are those of the data centre. None is asked while a seat is
+// free, which needs no request, or within takeTime of the last request, since that one's seat may be about to be free.
 func (a *seatAsks) next(hubs []mangostate.Member, now time.Time) (hub mangostate.Member, ok bool) {
+	isHub := func(name string) bool {
+		return slices.ContainsFunc(hubs, func(m mangostate.Member) bool { return m.Name == name })
+	}
 	if a.last.Name != "" {
-		isHub := slices.ContainsFunc(hubs, func(m mangostate.Member) bool { return m.Name == a.last.Name })
-		switch late := now.Sub(a.lastAt) >= takeTime; {
-		case !isHub && !late:
-			// The seat was given up, and this daemon is taking it.
+		if now.Sub(a.lastAt) < takeTime {
 			return mangostate.Member{}, false
-		case !isHub:
-			a.failedUntil, a.last = now.Add(failedPause), mangostate.Member{}
-		case late:
-			a.last = mangostate.Member{}
 		}
+		if !isHub(a.last.Name) {
+			a.failedUntil = now.Add(failedPause)
+		}
+		a.last = mangostate.Member{}
 	}
-	if now.Before(a.failedUntil) {
+	if now.Before(a.failedUntil) || len(hubs) < mangostate.SeatsPerDataCentre {
 		return mangostate.Member{}, false
 	}
+	maps.DeleteFunc(a.asked, func(name string, _ seatAsk) bool { return !isHub(name) })
 	for _, m := range hubs {
-		if now.Before(a.pausedUntil[m.Name]) || (ok && a.asked[m.Name] >= a.asked[hub.Name]) {
+		if now.Before(a.asked[m.Name].pausedUntil) || (ok && a.asked[m.Name].requests >= a.asked[hub.Name].requests) {
 			continue
 		}
 		hub, ok = m, true
@@ -253,8 +282,11 @@
 
 // sent records that a hub was asked.
 func (a *seatAsks) sent(hub mangostate.Member, now time.Time) {
-	if a.asked[hub.Name]++; a.asked[hub.Name] >= maxSeatRequests {
-		a.asked[hub.Name], a.pausedUntil[hub.Name] = 0, now.Add(keptPause)
+	ask := a.asked[hub.Name]
+	if ask.requests++; ask.requests >= maxSeatRequests {
+		ask.requests, ask.pause = 0, min(max(2*ask.pause, keptPause), maxKeptPause)
+		ask.pausedUntil = now.Add(ask.pause)
 	}
+	a.asked[hub.Name] = ask
 	a.last, a.lastAt = hub, now
 }
