--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -65,7 +65,7 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(data), complete: err == nil, err: err}
 }
 
-// whole reports whether the body of a stream has all events of a sound one, in order and no other.
+// wholeStream reports whether the body of a stream has all events of a sound one, in order and no other.
 func wholeStream(id, body string, length int) bool {
 	var sound strings.Builder
 	for n := 1; n <= length; n++ {
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -45,3 +45,10 @@
 	r.mu.Unlock()
 	r.note("run      %s by %s: %s %s, body of %d bytes", x.Request, x.Replica, x.Method, x.Target, x.Body)
 }
+
+// runsOf returns the runs of a request.
+func (r *record) runsOf(id string) []run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]run(nil), r.runs[id]...)
+}
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -28,8 +28,10 @@
 	eventPause   time.Duration
 	// work is the time that a request other than a stream runs.
 	work time.Duration
-	// spoil may change an event before it is sent; nil if the replica is sound.
+	// spoil may change an event before it is sent, and fails says whether the replica fails a request that it has run; nil if the replica
+	// is sound.
 	spoil func(request string, event int, text string) string
+	fails func(request string) bool
 
 	mu    sync.Mutex
 	ended bool
@@ -114,6 +116,10 @@
 		return r.stream(w, request, id)
 	}
 	time.Sleep(r.work)
+	if r.fails != nil && r.fails(id) {
+		writeHead(w, http.StatusServiceUnavailable, id, "0", names.Headers.Seal+": seal-"+r.id)
+		return true
+	}
 	text := answerOf(id)
 	writeHead(w, http.StatusOK, id, strconv.Itoa(len(text)), names.Headers.Seal+": seal-"+r.id)
 	_, _ = w.WriteString(text)
