Show bookings that reach a replica long after it has left (review case 7)

Shown: DRAIN. After a cut of a zone of 5 s, daemons that are in touch again go on sending bookings to a replica whose entry was removed during the cut.

--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -8,11 +8,16 @@
 
 // deployment is a small deployment: the store, replicas of one plain service, and daemons.
 type deployment struct {
-	dir      string
-	record   *record
-	store    *store
+	dir    string
+	record *record
+	store  *store
+	// gate cuts the store and all replicas off from the daemons.
+	gate     *gate
 	replicas []*replica
 	daemons  []*daemon
+	// sameDataCentre puts all daemons in a data centre without replicas, and started counts the replicas that were started.
+	sameDataCentre bool
+	started        int
 }
 
 // newDeployment starts the store with the first configuration.
@@ -25,12 +30,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := startStore()
+	g := newGate()
+	s, err := startStore(g)
 	if err != nil {
 		return nil, err
 	}
 	s.put(names.ConfigurationKey, configuration(1))
-	return &deployment{dir: dir, record: rec, store: s}, nil
+	return &deployment{dir: dir, record: rec, store: s, gate: g}, nil
 }
 
 // dataCentre returns the name of one of the two data centres, in turns.
@@ -39,8 +45,9 @@
 // addReplicas starts replicas.
 func (d *deployment) addReplicas(n int) error {
 	for range n {
-		number := len(d.replicas)
-		r, err := startReplica(d.store, d.record, fmt.Sprintf("r-%d", number+1), dataCentre(number))
+		number := d.started
+		d.started++
+		r, err := startReplica(d.gate, d.store, d.record, fmt.Sprintf("r-%d", number+1), dataCentre(number))
 		if err != nil {
 			return err
 		}
@@ -53,7 +60,11 @@
 func (d *deployment) addDaemons(n int) error {
 	for range n {
 		number := len(d.daemons)
-		p, err := startDaemon(d.dir, fmt.Sprintf("edge-%d", number+1), dataCentre(number), d.store.address, true)
+		place := dataCentre(number)
+		if d.sameDataCentre {
+			place = "dc-3"
+		}
+		p, err := startDaemon(d.dir, fmt.Sprintf("edge-%d", number+1), place, d.store.address, true)
 		if err != nil {
 			return err
 		}
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -9,13 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
-// heartbeat is the time between two writes of a replica's entry.
-const heartbeat = 1200 * time.Millisecond
-
 // replica is a stand-in of a replica of a plain service. It serves one request at a time on a connection.
 type replica struct {
 	id, address, dataCentre string
@@ -32,45 +28,41 @@
 	// is sound.
 	spoil func(request string, event int, text string) string
 	fails func(request string) bool
-
-	mu    sync.Mutex
-	ended bool
-	state string
 }
 
-// startReplica starts a replica on a free port of loopback and announces it.
-func startReplica(s *store, rec *record, id, dataCentre string) (*replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // The listener ends with the process.
+// startReplica starts a replica behind a gate and announces it.
+func startReplica(g *gate, s *store, rec *record, id, dataCentre string) (*replica, error) {
+	listener, err := g.listen()
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
 		id: id, address: listener.Addr().String(), dataCentre: dataCentre, born: time.Now().UnixMilli(), store: s, record: rec, listener: listener,
-		streamLength: 20, eventPause: 5 * time.Millisecond, work: 5 * time.Millisecond, state: "ready",
+		streamLength: 20, eventPause: 5 * time.Millisecond, work: 5 * time.Millisecond,
 	}
 	go r.accept()
-	go r.announce()
+	r.announce()
 	return r, nil
 }
 
-// announce writes the entry of the replica at each heartbeat.
+// announce writes the entry of the replica. Heartbeats after it change nothing but a count, which is no change of the entry.
 func (r *replica) announce() {
-	for sequence := 1; ; sequence++ {
-		r.mu.Lock()
-		ended, state := r.ended, r.state
-		r.mu.Unlock()
-		if ended {
-			return
-		}
-		entry, _ := json.Marshal(map[string]any{
-			"service": "plain", "address": r.address, "zone": r.dataCentre, "version": 1, "slots": 64, "state": state, "warmupLeftMs": 0,
-			"sequence": sequence, "born": r.born,
-		})
-		r.store.put(names.ReplicaPrefix+r.id, entry)
-		time.Sleep(heartbeat)
-	}
+	entry, _ := json.Marshal(map[string]any{
+		"service": "plain", "address": r.address, "zone": r.dataCentre, "version": 1, "slots": 64, "state": "ready", "warmupLeftMs": 0,
+		"sequence": 1, "born": r.born,
+	})
+	r.store.put(names.ReplicaPrefix+r.id, entry)
+}
+
+// leave removes the entry of the replica, which never reports that it is draining, and returns the time of that.
+func (r *replica) leave() time.Time {
+	r.store.remove(names.ReplicaPrefix + r.id)
+	return time.Now()
 }
 
+// end ends the replica.
+func (r *replica) end() { _ = r.listener.Close() }
+
 func (r *replica) accept() {
 	for {
 		conn, err := r.listener.Accept()
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -39,10 +38,10 @@
 	address  string
 }
 
-// startStore starts a store on a free port of loopback.
-func startStore() (*store, error) {
+// startStore starts a store behind a gate.
+func startStore(g *gate) (*store, error) {
 	s := &store{items: map[string]item{}, leases: map[uint64]*lease{}, revision: 1, changed: make(chan struct{})}
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // The listener ends with the process.
+	listener, err := g.listen()
 	if err != nil {
 		return nil, err
 	}
@@ -69,6 +68,14 @@
 	s.signal()
 }
 
+// remove deletes an item as the operator or a replica.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delete(key)
+	s.signal()
+}
+
 // write writes an item under the next revision. The caller holds s.mu.
 func (s *store) write(it item) {
 	s.revision++
