--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,7 +24,7 @@
 		os.Exit(statusFailed)
 	}
 	cases := map[string]testCase{
-		"wrong-piece-number": playWrongPieceNumber, "failed-after-run": playFailedAfterRun, "left-replica": playLeftReplica,
+		"wrong-piece-number": playWrongPieceNumber, "failed-after-run": playFailedAfterRun, "left-replica": playLeftReplica, "large-answer": playLargeAnswer,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -24,6 +24,8 @@
 	eventPause   time.Duration
 	// work is the time that a request other than a stream runs.
 	work time.Duration
+	// largeAnswers makes answers largeAnswer bytes long, with a pause in their middle.
+	largeAnswers bool
 	// spoil may change an event before it is sent, and fails says whether the replica fails a request that it has run; nil if the replica
 	// is sound.
 	spoil func(request string, event int, text string) string
@@ -107,6 +109,14 @@
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
 		return r.stream(w, request, id)
 	}
+	if r.largeAnswers {
+		writeHead(w, http.StatusOK, id, strconv.Itoa(largeAnswer), names.Headers.Seal+": seal-"+r.id)
+		_, _ = w.WriteString(strings.Repeat("x", largePart))
+		_ = w.Flush()
+		time.Sleep(largePause)
+		_, _ = w.WriteString(strings.Repeat("y", largeAnswer-largePart))
+		return true
+	}
 	time.Sleep(r.work)
 	if r.fails != nil && r.fails(id) {
 		writeHead(w, http.StatusServiceUnavailable, id, "0", names.Headers.Seal+": seal-"+r.id)
