--- a/review/standin2/daemon.go
+++ b/review/standin2/daemon.go
@@ -25,8 +25,11 @@
 // daemon is a process of the deploy file.
 type daemon struct {
 	name, front, readiness string
-	command                *exec.Cmd
-	ended                  chan struct{}
+	// dir has its settings file and its log, and values are what its settings are filled with.
+	dir     string
+	values  map[string]string
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 // startDaemon starts a daemon of a data centre with the command and the settings template of the deploy file. Its log goes to a file
@@ -36,46 +39,62 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{name: name, front: ports[0], readiness: ports[1], ended: make(chan struct{})}
+	d := &daemon{name: name, front: ports[0], readiness: ports[1], dir: dir}
 	_, metricsPort, _ := net.SplitHostPort(ports[2])
 	_, peerPort, _ := net.SplitHostPort(ports[3])
-	values := map[string]string{
+	d.values = map[string]string{
 		"nodeName": name, "zone": dataCentre, "region": "review", "limits.memoryMb": "284", "limits.cpuShare": "0.4", "listen.front": d.front,
 		"listen.readiness": d.readiness, "ip": "127.0.0.1", "portRange.0": peerPort, "portRange.1": metricsPort, "platform.address": storeAddress,
 		"platform.ttlMinMs": "1000", "bounds.graceS": "8", "bounds.retryRatio": "0.2", "bounds.retryWindowS": "10", "bounds.retrySlack": "198",
 	}
 	if firstStart {
-		values["bootstrap"] = "true"
+		d.values["bootstrap"] = "true"
 	}
+	if err := d.start(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// startAgain starts the daemon again after its end, which is no longer the first start of the whole system.
+func (d *daemon) startAgain() error {
+	delete(d.values, "bootstrap")
+	return d.start()
+}
+
+// start writes the settings file and starts the process.
+func (d *daemon) start() error {
 	template, err := os.ReadFile(settingsTemplate)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	path := filepath.Join(dir, name+".ini")
-	if err := os.WriteFile(path, []byte(fill(string(template), values)), 0o600); err != nil {
-		return nil, err
+	path := filepath.Join(d.dir, d.name+".ini")
+	if err := os.WriteFile(path, []byte(fill(string(template), d.values)), 0o600); err != nil {
+		return err
 	}
 	words, err := deployCommand()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	log, err := os.Create(filepath.Join(dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	d.command = exec.Command(words[0], words[1:]...) //nolint:noctx // The driver ends the process itself.
 	d.command.Env = append(os.Environ(), "MANGOPATH_BOOT="+path)
 	d.command.Stdout, d.command.Stderr = log, log
 	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
+	command, ended := d.command, make(chan struct{})
+	d.ended = ended
 	go func() {
-		_ = d.command.Wait()
+		_ = command.Wait()
 		_ = log.Close()
-		close(d.ended)
+		close(ended)
 	}()
-	return d, nil
+	return nil
 }
 
 // deployCommand returns the words of the command of the deploy file's role.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 	}
 	cases := map[string]testCase{
 		"wrong-piece-number": playWrongPieceNumber, "failed-after-run": playFailedAfterRun, "left-replica": playLeftReplica, "large-answer": playLargeAnswer,
+		"crashing-request": playCrashingRequest,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -30,21 +31,61 @@
 	// is sound.
 	spoil func(request string, event int, text string) string
 	fails func(request string) bool
+	// crashes is called when a request begins to run, and says whether that crashes the replica; nil if none does.
+	crashes func(request *http.Request) bool
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // startReplica starts a replica behind a gate and announces it.
 func startReplica(g *gate, s *store, rec *record, id, dataCentre string) (*replica, error) {
+	r, err := newReplica(g, s, rec, id, dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	r.open()
+	return r, nil
+}
+
+// newReplica returns a replica behind a gate that accepts no connections yet.
+func newReplica(g *gate, s *store, rec *record, id, dataCentre string) (*replica, error) {
 	listener, err := g.listen()
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{
+	return &replica{
 		id: id, address: listener.Addr().String(), dataCentre: dataCentre, born: time.Now().UnixMilli(), store: s, record: rec, listener: listener,
-		streamLength: 20, eventPause: 5 * time.Millisecond, work: 5 * time.Millisecond,
-	}
+		streamLength: 20, eventPause: 5 * time.Millisecond, work: 5 * time.Millisecond, conns: map[net.Conn]bool{},
+	}, nil
+}
+
+// open accepts connections and announces the replica.
+func (r *replica) open() {
 	go r.accept()
 	r.announce()
-	return r, nil
+}
+
+// crash ends the replica as the end of its process would: its port and all its connections are closed.
+func (r *replica) crash() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// track keeps a connection for as long as it is served.
+func (r *replica) track(conn net.Conn) (untrack func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[conn] = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+	}
 }
 
 // announce writes the entry of the replica. Heartbeats after it change nothing but a count, which is no change of the entry.
@@ -78,6 +119,7 @@
 // serve serves the requests of a connection.
 func (r *replica) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	defer r.track(conn)()
 	reader, writer := bufio.NewReader(conn), bufio.NewWriter(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -106,6 +148,9 @@
 		return true
 	}
 	r.record.ran(run{Request: id, Replica: r.id, Method: request.Method, Target: request.RequestURI, Body: len(body), At: time.Now()})
+	if r.crashes != nil && r.crashes(request) {
+		return false
+	}
 	if strings.HasPrefix(request.URL.Path, "/stream/") {
 		return r.stream(w, request, id)
 	}
