--- a/review/standin2/daemon.go
+++ b/review/standin2/daemon.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -18,6 +20,10 @@
 	// deployFile has the command of the daemon, and settingsTemplate the template of its settings.
 	deployFile       = "deploy/system.toml"
 	settingsTemplate = "deploy/relay.ini"
+	// Ports of daemons are from firstPort to below endPort; portTries bounds the search for free ones.
+	firstPort = 20000
+	endPort   = 32000
+	portTries = 1000
 	// readyTime bounds the time until a daemon is ready.
 	readyTime = 15 * time.Second
 )
@@ -125,18 +131,22 @@
 	})
 }
 
-// freePorts returns loopback addresses with free ports.
+// freePorts returns loopback addresses with free ports below the range from which the kernel takes those of outgoing connections, which
+// could take one before its daemon listens there.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // It is closed at once.
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(endPort-firstPort)))
+		l, err := net.Listen("tcp", address) //nolint:noctx // It is closed at once.
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("there are no free ports")
 }
 
 // awaitReady waits until the daemon is ready.
