Give drivers of review cases that run at once different ports

A daemon could still not start in 2 of about 70 runs, many of them begun at the same moment: two drivers drew the same port. Each driver now has a block of ports by its process id, and gives each port out once.

--- a/review/standin2/daemon.go
+++ b/review/standin2/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,10 +19,10 @@
 	// deployFile has the command of the daemon, and settingsTemplate the template of its settings.
 	deployFile       = "deploy/system.toml"
 	settingsTemplate = "deploy/relay.ini"
-	// Ports of daemons are from firstPort to below endPort; portTries bounds the search for free ones.
-	firstPort = 20000
-	endPort   = 32000
-	portTries = 1000
+	// The ports of daemons are in one of portBlocks blocks of blockSize from firstPort on.
+	firstPort  = 20000
+	blockSize  = 80
+	portBlocks = 150
 	// readyTime bounds the time until a daemon is ready.
 	readyTime = 15 * time.Second
 )
@@ -131,18 +130,23 @@
 	})
 }
 
+// portsSeen is how many ports of the block have been given out or were not free. Daemons are started one after the other.
+var portsSeen int
+
 // freePorts returns loopback addresses with free ports below the range from which the kernel takes those of outgoing connections, which
-// could take one before its daemon listens there.
+// could take one before its daemon listens there. Drivers that are started one after the other look in different blocks.
 func freePorts(n int) ([]string, error) {
 	var addresses []string
-	for range portTries {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(endPort-firstPort)))
+	block := firstPort + os.Getpid()%portBlocks*blockSize
+	for ; portsSeen < blockSize; portsSeen++ {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(block+portsSeen))
 		l, err := net.Listen("tcp", address) //nolint:noctx // It is closed at once.
 		if err != nil {
 			continue
 		}
 		defer func() { _ = l.Close() }()
 		if addresses = append(addresses, address); len(addresses) == n {
+			portsSeen++
 			return addresses, nil
 		}
 	}
