--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -74,12 +74,10 @@
 	)
 }
 
-func provideController(mirror *mangohub.Mirror, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
-	returnTime := func() time.Time {
-		_, backAt := mirror.Contact()
-		return backAt
-	}
-	return mangostate.New(platform.NewFeed(mirror), health, mangostate.WithLogger(logger), mangostate.WithReturnTime(returnTime))
+func provideController(self mangostate.Member, mirror *mangohub.Mirror, health *mangoreplica.HealthTracker, logger *logrus.Logger) *mangostate.Controller {
+	return mangostate.New(
+		platform.NewFeed(mirror), health, mangostate.WithLogger(logger), mangostate.WithOutage(mirror.Outage), mangostate.WithDataCentre(self.DataCentre),
+	)
 }
 
 func provideBudget(s *mangomessage.RelaySettings) *mangobudget.Budget {
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -28,7 +28,7 @@
 	member := provideSelf(settings)
 	mirror := mangohub.NewMirror()
 	healthTracker := mangoreplica.NewHealthTracker()
-	controller := provideController(mirror, healthTracker, logger)
+	controller := provideController(member, mirror, healthTracker, logger)
 	budget := provideBudget(settings)
 	crashTracker := provideCrashTracker(settings, controller, logger)
 	dialer := mangoconn.New()
--- a/internal/mangohub/cluster_test.go
+++ b/internal/mangohub/cluster_test.go
@@ -320,7 +320,7 @@
 	now := time.Now()
 	for name, d := range c.daemons {
 		link := d.follower.Link()
-		reached, _ := d.mirror.Contact()
+		reached := d.mirror.Contact()
 		fmt.Fprintf(&b, "\n%s: revision %d, contact %t, hub %q since %v, update %v, confirmed %t, unconfirmed since %v", name, d.mirror.Revision(), reached,
 			link.Hub, now.Sub(link.Since), now.Sub(link.UpdatedAt), link.Confirmed(now), now.Sub(link.UnconfirmedAt))
 	}
--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -1,10 +1,14 @@
 package mangohub
 
-import "time"
+import (
+	"time"
+
+	"mangopath.org/mangopath/internal/mangostate"
+)
 
 const (
-	// sameReturn is the difference up to which two times at which the store was back are taken for the same.
-	sameReturn = 500 * time.Millisecond
+	// sameOutage is the difference up to which two times at which the store was away are taken for the same.
+	sameOutage = time.Second
 	// ownFailureLifetime is the time for which a failed own call tells of the store while this daemon does not read it.
 	ownFailureLifetime = 2 * time.Second
 	// ownPathTime is the time after the last successful call for which a daemon that does not read the store counts as reaching it itself.
@@ -49,15 +53,16 @@
 	m.reading = reading
 }
 
-// SetOwnContact records whether a call of this daemon reached the store.
-func (m *Mirror) SetOwnContact(reached bool) {
+// SetOwnContact records whether a call of this daemon, which began at a time, reached the store. If it did not, the store was away then;
+// it may have been back any time after that.
+func (m *Mirror) SetOwnContact(reached bool, begun time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.own, m.ownAt = contactOf(reached), m.now()
-	m.updateContact(time.Time{})
-	if !reached && m.lost {
-		m.lossConfirmed = true
+	if !reached && begun.After(m.outage.At) {
+		m.outage = mangostate.Outage{At: begun}
 	}
+	m.updateContact()
 }
 
 // ownContact returns what the last own call says of the store, or contactUnknown after a failure that is out of date. A success
@@ -75,8 +80,10 @@
 	// Reached says that the hub reaches the store without this daemon, through the daemons of Path.
 	Reached bool
 	Path    []string
-	// BackAt is when the store was back, if the hub was without it lately; zero otherwise.
-	BackAt time.Time
+	// Outage is when the store was last known to be away, if the hub was without it lately; its zero value otherwise.
+	Outage mangostate.Outage
+	// Since is from when on the hub has been in contact with the store without a break; zero if it is not known.
+	Since time.Time
 	// Local says that the hub is in the data centre of this daemon.
 	Local bool
 }
@@ -86,8 +93,37 @@
 func (m *Mirror) SetHubContact(h HubContact) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.hub, m.hubPath, m.localHub = contactOf(h.Reached), h.Path, h.Local
-	m.updateContact(h.BackAt)
+	m.hub, m.hubPath = contactOf(h.Reached), h.Path
+	newOutage := h.Outage.At.Sub(m.outage.At) > sameOutage
+	if h.Outage.At.After(m.outage.At) {
+		m.outage = h.Outage
+	}
+	if h.Reached {
+		m.takeHubWord(h)
+	}
+	if newOutage && h.Reached && !m.lost {
+		m.lossDue = true
+		m.signal()
+	}
+	m.updateContact()
+}
+
+// takeHubWord takes from a hub that reaches the store what it means for the failures of this daemon's own calls. A hub that had contact
+// before and after the last failure shows that the store was not away: only this daemon was cut off, or its data centre with the replicas there
+// if the hub is in another one. The caller holds m.mu.
+func (m *Mirror) takeHubWord(h HubContact) {
+	if m.own == contactFailed {
+		// The failure says nothing about the time after this contact.
+		m.own = contactUnknown
+	}
+	hadStore := !h.Since.IsZero() && h.Since.Before(m.outage.At)
+	isSame := h.Outage.At.Sub(m.outage.At).Abs() <= sameOutage
+	switch {
+	case hadStore && h.Local:
+		m.outage = mangostate.Outage{}
+	case hadStore, isSame && h.Outage.OnlyLocal:
+		m.outage.OnlyLocal = true
+	}
 }
 
 // EndHubContact records that this daemon follows no hub.
@@ -95,54 +131,48 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hub, m.hubPath = contactUnknown, nil
-	m.updateContact(time.Time{})
+	m.updateContact()
 }
 
 // updateContact derives whether the store is reached from what is known of the own calls and of the hub. A success of either
 // counts; while neither has succeeded or failed, as after a change of hubs, the contact stays as it was. The caller holds m.mu.
-func (m *Mirror) updateContact(backAt time.Time) {
+func (m *Mirror) updateContact() {
 	own := m.ownContact()
 	reached := own == contactMade || m.hub == contactMade
-	switch {
-	case own == contactMade:
-		backAt = time.Time{}
-	case !reached && own == contactUnknown && m.hub == contactUnknown:
+	if !reached && own == contactUnknown && m.hub == contactUnknown {
 		return
 	}
 	switch {
 	case !reached && !m.lost:
-		m.lost, m.lossDue, m.lossConfirmed = true, true, own == contactFailed
+		m.lost, m.lossDue = true, true
 		m.signal()
 	case reached && m.lost:
-		m.lost, m.backAt = false, m.returnTime(backAt)
-		m.signal()
-	case reached && backAt.Sub(m.backAt) > sameReturn:
-		m.backAt, m.lossDue = backAt, true
+		m.lost, m.contactAt = false, m.now()
 		m.signal()
+	case reached && m.contactAt.IsZero():
+		m.contactAt = m.now()
 	}
 }
 
-// returnTime returns the time at which the store was back, at the end of a loss. hubBackAt is that of the hub by which it is
-// reached, if the hub was without the store as well. The time stays that of the last return if the store was not away: only
-// another hub told of the loss, or a hub of this data centre, which its replicas reach as it does, had the store all the while. The
-// caller holds m.mu.
-func (m *Mirror) returnTime(hubBackAt time.Time) time.Time {
-	byHub := m.ownContact() != contactMade
-	switch {
-	case !hubBackAt.IsZero():
-		return hubBackAt
-	case !m.lossConfirmed, byHub && m.localHub:
-		return m.backAt
-	default:
-		return m.now()
-	}
+// Contact reports whether the store is reached.
+func (m *Mirror) Contact() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.lost
+}
+
+// ContactSince returns from when on the store has been reached without a break, and whether it is reached.
+func (m *Mirror) ContactSince() (since time.Time, reached bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contactAt, !m.lost && !m.contactAt.IsZero()
 }
 
-// Contact reports whether the store is reached, and when it was back after it was last away; zero if it never was.
-func (m *Mirror) Contact() (reached bool, backAt time.Time) {
+// Outage returns the last time at which the store was away; its zero value if it never was.
+func (m *Mirror) Outage() mangostate.Outage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.lost, m.backAt
+	return m.outage
 }
 
 // takeContactChange reports whether the user of the mirror has to be told now that the store was lost, or that it is back. If
--- a/internal/mangohub/contact_test.go
+++ b/internal/mangohub/contact_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"mangopath.org/mangopath/internal/mangostate"
 )
 
 // contactStep is something that a mirror is told, at a time after the start of the test.
@@ -45,22 +47,27 @@
 		if !lost && !returned {
 			return
 		}
-		if reached, _ := f.mirror.Contact(); lost && !reached {
+		if lost && !f.mirror.Contact() {
 			return
 		}
 	}
 }
 
-// backAt returns the time of the last return since the start, -1 if there is none.
-func (f *contactFixture) backAt() time.Duration {
-	_, back := f.mirror.Contact()
-	if back.IsZero() {
+// awayAt returns when the store was last away, counted from the start, -1 if it never was.
+func (f *contactFixture) awayAt() time.Duration {
+	outage := f.mirror.Outage()
+	if outage.At.IsZero() {
 		return -1
 	}
-	return back.Sub(f.start)
+	return outage.At.Sub(f.start)
 }
 
-func ownCall(reached bool) func(*Mirror) { return func(m *Mirror) { m.SetOwnContact(reached) } }
+// callTime is the time that a call of ownCall takes.
+const callTime = 100 * time.Millisecond
+
+func ownCall(reached bool) func(*Mirror) {
+	return func(m *Mirror) { m.SetOwnContact(reached, m.now().Add(-callTime)) }
+}
 
 func reading(on bool) func(*Mirror) { return func(m *Mirror) { m.SetReading(on) } }
 
@@ -71,63 +78,77 @@
 // Guards against what one outage of the store leaves behind: a daemon took each later change of hubs for a loss of the store, and
 // the next hub for its return, and kept entries that had been removed since. Times are in seconds.
 func TestContactAfterOutage(t *testing.T) {
-	const s = time.Second
-	local, remote := HubContact{Reached: true, Local: true}, HubContact{Reached: true}
+	const s, ms = time.Second, time.Millisecond
 	f := newContactFixture()
-	backAt := func(seconds float64) HubContact {
-		return HubContact{Reached: true, Local: true, BackAt: f.start.Add(time.Duration(seconds * float64(s)))}
+	local, remote := HubContact{Reached: true, Local: true}, HubContact{Reached: true}
+	// These were in contact all the while.
+	localAll, remoteAll := HubContact{Reached: true, Local: true, Since: f.start}, HubContact{Reached: true, Since: f.start}
+	awayAt := func(seconds float64) HubContact {
+		return HubContact{Reached: true, Local: true, Outage: mangostate.Outage{At: f.start.Add(time.Duration(seconds * float64(s)))}}
 	}
+	const failedAt = 2*s - callTime
 	// An outage from 1 s to 5 s, in which an own call failed; a hub tells of its end.
 	outage := []contactStep{
 		{0, hubSays(local)},
 		{1 * s, hubSays(HubContact{Local: true})},
 		{2 * s, reading(true)},
 		{2 * s, ownCall(false)},
-		{5 * s, hubSays(backAt(5))},
+		{5 * s, hubSays(awayAt(4.5))},
 		{5 * s, reading(false)},
 	}
 	tests := []struct {
 		name   string
 		steps  []contactStep
 		losses int
-		backAt time.Duration
+		awayAt time.Duration
 		lost   bool
+		// onlyLocal says that other data centres had the store.
+		onlyLocal bool
 	}{
-		{"the outage alone", outage, 1, 5 * s, false},
-		{"a change of hubs long after it", append(outage[:6:6], contactStep{15 * s, endHub}, contactStep{16 * s, hubSays(local)}), 1, 5 * s, false},
+		{"the outage alone", outage, 1, 4500 * ms, false, false},
+		{"a change of hubs long after it", append(outage[:6:6], contactStep{15 * s, endHub}, contactStep{16 * s, hubSays(local)}), 1, 4500 * ms, false, false},
 		{"changes of hubs in series", append(
 			outage[:6:6], contactStep{8 * s, endHub}, contactStep{8 * s, hubSays(local)}, contactStep{9 * s, endHub}, contactStep{9 * s, hubSays(remote)},
 			contactStep{10 * s, endHub}, contactStep{10 * s, hubSays(local)},
-		), 1, 5 * s, false},
+		), 1, 4500 * ms, false, false},
 		{"the daemon takes a seat long after it", append(
 			outage[:6:6], contactStep{15 * s, endHub}, contactStep{15 * s, reading(true)}, contactStep{15 * s, ownCall(true)}, contactStep{16 * s, endHub},
-		), 1, 5 * s, false},
-		{"another hub saw its end a little later", append(outage[:6:6], contactStep{6 * s, endHub}, contactStep{6 * s, hubSays(backAt(5.4))}), 1, 5 * s, false},
+		), 1, 4500 * ms, false, false},
+		{"another hub saw its end a little later", append(outage[:6:6], contactStep{6 * s, endHub}, contactStep{6 * s, hubSays(awayAt(4.9))}), 1, 4900 * ms, false, false},
 		{"no hub after it, and the store fails again", append(
 			outage[:6:6], contactStep{15 * s, endHub}, contactStep{15 * s, reading(true)}, contactStep{15 * s, ownCall(false)}, contactStep{17 * s, ownCall(true)},
-		), 2, 17 * s, false},
+		), 2, 15*s - callTime, false, false},
 		{"only the hub loses the store, an own call reaches it", []contactStep{
 			{0, hubSays(local)}, {1 * s, hubSays(HubContact{Local: true})}, {2 * s, reading(true)}, {2 * s, ownCall(true)},
-		}, 1, -1, false},
+		}, 1, -1, false, false},
 		{"only the hub loses the store, another one has it", []contactStep{
 			{0, hubSays(local)}, {1 * s, hubSays(HubContact{Local: true})}, {2 * s, endHub}, {2 * s, hubSays(remote)},
-		}, 1, -1, false},
+		}, 1, -1, false, false},
 		{"this daemon alone is cut off, a hub of its data centre was not", []contactStep{
-			{0, hubSays(local)}, {1 * s, endHub}, {2 * s, reading(true)}, {2 * s, ownCall(false)}, {9 * s, hubSays(local)},
-		}, 1, -1, false},
+			{0, hubSays(local)}, {1 * s, endHub}, {2 * s, reading(true)}, {2 * s, ownCall(false)}, {9 * s, hubSays(localAll)},
+		}, 1, -1, false, false},
 		{"the data centre is cut off, a hub of another one was not", []contactStep{
+			{0, hubSays(local)}, {1 * s, endHub}, {2 * s, reading(true)}, {2 * s, ownCall(false)}, {9 * s, hubSays(remoteAll)},
+		}, 1, failedAt, false, true},
+		{"the data centre is cut off, a hub of another one has just started", []contactStep{
 			{0, hubSays(local)}, {1 * s, endHub}, {2 * s, reading(true)}, {2 * s, ownCall(false)}, {9 * s, hubSays(remote)},
-		}, 1, 9 * s, false},
+		}, 1, failedAt, false, false},
+		{"the data centre was cut off, and an own call returns before a hub", []contactStep{
+			{0, hubSays(local)}, {1 * s, endHub}, {2 * s, reading(true)}, {2 * s, ownCall(false)}, {6 * s, ownCall(true)}, {9 * s, hubSays(remoteAll)},
+		}, 1, failedAt, false, true},
+		{"the hub is left soon after the end of a cut", []contactStep{
+			{0, hubSays(remote)}, {1 * s, endHub}, {2 * s, ownCall(false)}, {3 * s, hubSays(remoteAll)}, {3500 * ms, endHub}, {3500 * ms, reading(true)},
+		}, 1, failedAt, false, true},
 		{"a success stands until a call fails", []contactStep{
 			{0, reading(true)},
 			{0, ownCall(true)},
 			{1 * s, reading(false)},
 			{10 * s, hubSays(HubContact{Local: true})},
 			{11 * s, ownCall(false)},
-		}, 1, -1, true},
+		}, 1, 11*s - callTime, true, false},
 		{"a watch that has lasted long is a contact", []contactStep{
 			{0, reading(true)}, {0, ownCall(true)}, {10 * s, hubSays(HubContact{Local: true})},
-		}, 0, -1, false},
+		}, 0, -1, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -136,10 +157,10 @@
 			for _, step := range tt.steps {
 				f.play(step)
 			}
-			reached, _ := f.mirror.Contact()
-			is.Equal(reached, !tt.lost)
+			is.Equal(f.mirror.Contact(), !tt.lost)
 			is.Equal(f.losses, tt.losses)
-			is.Equal(f.backAt(), tt.backAt)
+			is.Equal(f.awayAt(), tt.awayAt)
+			is.Equal(f.mirror.Outage().OnlyLocal, tt.onlyLocal)
 		})
 	}
 }
@@ -155,7 +176,7 @@
 			f.play(s)
 		}
 		ended := 5 * time.Second
-		f.play(contactStep{ended, hubSays(HubContact{Reached: true, BackAt: f.start.Add(ended)})})
+		f.play(contactStep{ended, hubSays(HubContact{Reached: true, Outage: mangostate.Outage{At: f.start.Add(ended)}})})
 		at := ended
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			at += time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond
@@ -164,8 +185,8 @@
 			}).Draw(t, "step")
 			f.play(contactStep{at, tell})
 		}
-		if f.losses != 1 || f.backAt() != ended {
-			t.Fatalf("%d losses, back at %v instead of %v", f.losses, f.backAt(), ended)
+		if f.losses != 1 || f.awayAt() != ended {
+			t.Fatalf("%d losses, away at %v instead of %v", f.losses, f.awayAt(), ended)
 		}
 	})
 }
@@ -196,7 +217,7 @@
 				timer := time.AfterFunc(50*time.Millisecond, func() { tt.change(r, d, u) })
 				defer timer.Stop()
 				start := time.Now()
-				r.pauseAfterFailure(t.Context(), start)
+				r.pauseAfterFailure(t.Context(), start, start)
 				is.Equal(time.Since(start) < 900*time.Millisecond, tt.short)
 			})
 		})
@@ -209,7 +230,7 @@
 			r := NewReader(nil, NewMirror(), d, &testUpstream{}, WithReaderLogger(quietLogger()))
 			r.retryPause, r.failedAt = maxUnseatedRetryPause, time.Now().Add(-time.Minute)
 			start := time.Now()
-			r.pauseAfterFailure(t.Context(), start)
+			r.pauseAfterFailure(t.Context(), start, start)
 			is.True(time.Since(start) < time.Second)
 		})
 	})
@@ -241,20 +262,20 @@
 	}{
 		{"reads", []contactStep{
 			{0, func(m *Mirror) { m.SetReading(true) }},
-			{0, func(m *Mirror) { m.SetOwnContact(true) }},
+			{0, func(m *Mirror) { m.SetOwnContact(true, m.now()) }},
 			{10 * time.Second, func(m *Mirror) { m.SetHubContact(byHub) }},
 		}, nil},
 		{"has stopped reading", []contactStep{
 			{0, func(m *Mirror) { m.SetReading(true) }},
-			{0, func(m *Mirror) { m.SetOwnContact(true) }},
+			{0, func(m *Mirror) { m.SetOwnContact(true, m.now()) }},
 			{time.Second, func(m *Mirror) { m.SetHubContact(byHub) }},
 			{2 * time.Second, func(m *Mirror) { m.SetReading(false) }},
 		}, byHub.Path},
 		{"has just made a call without reading", []contactStep{
-			{0, func(m *Mirror) { m.SetHubContact(byHub) }}, {time.Second, func(m *Mirror) { m.SetOwnContact(true) }},
+			{0, func(m *Mirror) { m.SetHubContact(byHub) }}, {time.Second, func(m *Mirror) { m.SetOwnContact(true, m.now()) }},
 		}, nil},
 		{"has stopped reading, hub without contact", []contactStep{
-			{0, func(m *Mirror) { m.SetOwnContact(true) }}, {time.Second, func(m *Mirror) { m.SetHubContact(HubContact{Path: []string{"b"}}) }},
+			{0, func(m *Mirror) { m.SetOwnContact(true, m.now()) }}, {time.Second, func(m *Mirror) { m.SetHubContact(HubContact{Path: []string{"b"}}) }},
 		}, nil},
 	}
 	for _, tt := range tests {
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -149,8 +149,7 @@
 // candidates returns the hubs to follow, the best first.
 func (f *Follower) candidates() []candidate {
 	seat, seated := f.seats.Held()
-	reached, _ := f.mirror.Contact()
-	if reached && f.IsPrimary() {
+	if f.mirror.Contact() && f.IsPrimary() {
 		return nil
 	}
 	list := hubsToFollow(f.self, seat, seated, f.state.View().Members)
@@ -198,7 +197,7 @@
 		updates++
 		f.recordUpdate(hub, u)
 		if updates == 1 {
-			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": mangorevision.Text(u.GetRevision()), "store_lost": u.GetStoreLost(), "store_back_ms": u.GetStoreBackMs()}).
+			f.logger.WithFields(logrus.Fields{"event": "hub_followed", "hub": hub.Name, "address": hub.Address, "revision": mangorevision.Text(u.GetRevision()), "store_lost": u.GetStoreLost(), "store_away_ms": u.GetStoreAwayMs()}).
 				Info("this daemon follows a hub")
 		}
 		if begun = f.apply(hub, begun, u); tooLarge(begun) {
@@ -257,12 +256,17 @@
 	if u.GetMore() {
 		return begun
 	}
-	var backAt time.Time
-	if u.GetStoreBackMs() > 0 {
-		backAt = time.Now().Add(-time.Duration(u.GetStoreBackMs()) * time.Millisecond)
+	isLocal := hub.DataCentre == f.self.DataCentre
+	var outage mangostate.Outage
+	if u.GetStoreAwayMs() > 0 && (isLocal || !u.GetAwayLocally()) {
+		outage = mangostate.Outage{At: time.Now().Add(-time.Duration(u.GetStoreAwayMs()) * time.Millisecond), OnlyLocal: u.GetAwayLocally()}
+	}
+	var since time.Time
+	if u.GetContactMs() > 0 {
+		since = time.Now().Add(-time.Duration(u.GetContactMs()) * time.Millisecond)
 	}
 	f.mirror.SetHubContact(HubContact{
-		Reached: f.bringsContact(u), Path: u.GetPath(), BackAt: backAt, Local: hub.DataCentre == f.self.DataCentre,
+		Reached: f.bringsContact(u), Path: u.GetPath(), Outage: outage, Since: since, Local: isLocal,
 	})
 	if u.GetSnapshot() {
 		f.mirror.Load(begun, u.GetRevision())
--- a/internal/mangohub/hub_change_test.go
+++ b/internal/mangohub/hub_change_test.go
@@ -38,7 +38,7 @@
 		}
 		c.eventually(t, "all daemons have tried the store themselves", 10*time.Second, func() bool {
 			for _, d := range c.daemons {
-				if reached, _ := d.mirror.Contact(); reached || !d.mirror.lastOwnCallFailed() {
+				if d.mirror.Contact() || !d.mirror.lastOwnCallFailed() {
 					return false
 				}
 			}
@@ -52,8 +52,8 @@
 		})
 		time.Sleep(2*roleCheckInterval + ownFailureLifetime)
 		c.store.setUncut(follower.member.Name)
-		_, backAt := follower.mirror.Contact()
-		is.True(!backAt.IsZero())
+		awayAt := follower.mirror.Outage().At
+		is.True(!awayAt.IsZero())
 		for range 3 {
 			var followed *testDaemon
 			c.eventually(t, "the follower has a hub", 5*time.Second, func() bool {
@@ -64,15 +64,14 @@
 			// A change makes the hub notice that its stream has ended.
 			revision := c.store.change("key")
 			c.eventually(t, "the follower has the change by another hub", 5*time.Second, func() bool {
-				if reached, _ := follower.mirror.Contact(); !reached {
+				if !follower.mirror.Contact() {
 					t.Fatal("a change of hubs was taken for a loss of the store")
 				}
 				link := follower.follower.Link()
 				return link.Hub != "" && link.Hub != followed.member.Name && link.Confirmed(time.Now()) && follower.mirror.Revision() >= revision
 			})
 			followed.down.Store(false)
-			_, now := follower.mirror.Contact()
-			is.Equal(now, backAt)
+			is.Equal(follower.mirror.Outage().At, awayAt)
 		}
 	})
 }
--- a/internal/mangohub/hub_test.go
+++ b/internal/mangohub/hub_test.go
@@ -294,29 +294,29 @@
 		// want is what the next watches return: a loss, an answer, or nothing new.
 		want []string
 	}{
-		{"in contact", func(m *Mirror) { m.SetOwnContact(true) }, []string{"nothing"}},
-		{"lost", func(m *Mirror) { m.SetOwnContact(false) }, []string{"loss", "loss"}},
+		{"in contact", func(m *Mirror) { m.SetOwnContact(true, time.Now()) }, []string{"nothing"}},
+		{"lost", func(m *Mirror) { m.SetOwnContact(false, time.Now()) }, []string{"loss", "loss"}},
 		{"lost and back", func(m *Mirror) {
-			m.SetOwnContact(false)
-			m.SetOwnContact(true)
+			m.SetOwnContact(false, time.Now())
+			m.SetOwnContact(true, time.Now())
 		}, []string{"loss", "answer", "nothing"}},
-		{"the hub was without the store", func(m *Mirror) { m.SetHubContact(HubContact{Reached: true, BackAt: back}) }, []string{"loss", "answer", "nothing"}},
+		{"the hub was without the store", func(m *Mirror) { m.SetHubContact(HubContact{Reached: true, Outage: mangostate.Outage{At: back}}) }, []string{"loss", "answer", "nothing"}},
 		{"the hub has lost it, this daemon has not", func(m *Mirror) {
-			m.SetOwnContact(true)
+			m.SetOwnContact(true, time.Now())
 			m.SetHubContact(HubContact{})
 		}, []string{"nothing"}},
 		{"this daemon has lost it, the hub has not", func(m *Mirror) {
 			m.SetHubContact(HubContact{Reached: true})
-			m.SetOwnContact(false)
+			m.SetOwnContact(false, time.Now())
 		}, []string{"nothing"}},
 		{"this daemon has lost it, and the hub", func(m *Mirror) {
 			m.SetHubContact(HubContact{Reached: true})
-			m.SetOwnContact(false)
+			m.SetOwnContact(false, time.Now())
 			m.EndHubContact()
 		}, []string{"loss", "loss"}},
 		{"the hub says so again", func(m *Mirror) {
-			m.SetHubContact(HubContact{Reached: true, BackAt: back})
-			m.SetHubContact(HubContact{Reached: true, BackAt: back.Add(20 * time.Millisecond)})
+			m.SetHubContact(HubContact{Reached: true, Outage: mangostate.Outage{At: back}})
+			m.SetHubContact(HubContact{Reached: true, Outage: mangostate.Outage{At: back.Add(20 * time.Millisecond)}})
 		}, []string{"loss", "answer", "nothing"}},
 	}
 	for _, tt := range tests {
@@ -355,9 +355,9 @@
 			// Each change takes two calls at most: one that tells of a loss, and one that brings it.
 			for call := 0; after < revision; call++ {
 				is.True(call < 2)
-				m.SetOwnContact(false)
-				m.SetOwnContact(true)
-				m.SetOwnContact(false)
+				m.SetOwnContact(false, time.Now())
+				m.SetOwnContact(true, time.Now())
+				m.SetOwnContact(false, time.Now())
 				if _, next, err := m.Watch(t.Context(), after, time.Second); err == nil {
 					after = next
 				}
--- a/internal/mangohub/mirror.go
+++ b/internal/mangohub/mirror.go
@@ -27,17 +27,17 @@
 	historyBytes int
 	revision     uint64
 	loaded       bool
-	// lost says that neither this daemon nor its hub reaches the store. lossConfirmed says that a call of this daemon failed
-	// since, and backAt is when the store was back after it was last away.
-	lost, lossConfirmed bool
-	backAt              time.Time
+	// lost says that neither this daemon nor its hub reaches the store, contactAt is when it was last reached after it had been lost,
+	// and outage is when the store was last away.
+	lost      bool
+	contactAt time.Time
+	outage    mangostate.Outage
 	// own is whether the last call of this daemon reached the store, at ownAt, and hub whether its hub does, through the daemons
 	// of hubPath. reading says that this daemon reads the store itself.
 	own, hub contact
 	ownAt    time.Time
 	reading  bool
 	hubPath  []string
-	localHub bool
 	// now is the clock.
 	now func() time.Time
 	// confirmedAt is the latest time at which the mirror is known to have had all changes of the store.
@@ -216,7 +216,7 @@
 			return nil, 0, lostStore("Snapshot", ctx.Err())
 		case <-changed:
 		}
-		if reached, _ := m.Contact(); !reached && !m.Loaded() {
+		if !m.Contact() && !m.Loaded() {
 			return nil, 0, lostStore("Snapshot", nil)
 		}
 	}
@@ -247,7 +247,7 @@
 			m.requestRestart()
 			return nil, 0, lostStore("Watch", ctx.Err())
 		case <-timer.C:
-			if reached, _ := m.Contact(); !reached {
+			if !m.Contact() {
 				return nil, 0, lostStore("Watch", nil)
 			}
 			return nil, after, nil
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -28,6 +28,12 @@
 	minRetryPause         = 100 * time.Millisecond
 	maxRetryPause         = 800 * time.Millisecond
 	maxUnseatedRetryPause = 8 * time.Second
+	// probeWait is the time for which the store may hold the first watch after a failed call, and probeTimeout bounds that call, so that a
+	// hub finds out soon that the store is back.
+	probeWait    = time.Millisecond
+	probeTimeout = 600 * time.Millisecond
+	// slowProbeEach is the number of calls after which one is not bounded by probeTimeout, as the store may be that slow.
+	slowProbeEach = 8
 	// outageMemory is the time after a failed call from which the next one belongs to another outage. It is longer than any pause.
 	outageMemory = 2 * maxUnseatedRetryPause
 	// hubGrace is the time without a hub after which a daemon reads the store itself, plus a random time up to
@@ -74,6 +80,8 @@
 	// retryPause is the pause after the next failed call, and failedAt the time of the last one.
 	retryPause time.Duration
 	failedAt   time.Time
+	// failedCalls is the number of calls that have failed since the last one that did not.
+	failedCalls int
 	// grace and unconfirmed are the times to wait, drawn anew whenever the link changes.
 	grace, unconfirmed time.Duration
 	drawnFor           Link
@@ -111,6 +119,7 @@
 			return ctx.Err()
 		}
 		snapshot := compacted || !r.mirror.Loaded()
+		begun := time.Now()
 		items, revision, abandoned, err := r.read(ctx, snapshot, compacted)
 		if abandoned {
 			continue
@@ -138,10 +147,14 @@
 			r.mirror.Confirm(revision, 0)
 		}
 		compacted = needsSnapshot(err)
-		r.recordResult(err)
+		r.recordResult(begun, err)
 		if failed {
-			r.pauseAfterFailure(ctx, now)
-		} else if pause > 0 {
+			r.failedCalls++
+			r.pauseAfterFailure(ctx, begun, now)
+			continue
+		}
+		r.failedCalls = 0
+		if pause > 0 {
 			_ = sleep(ctx, pause)
 		}
 	}
@@ -161,15 +174,20 @@
 }
 
 // pauseAfterFailure waits after a failed call, longer after each of a series. The wait ends early when this daemon no longer has to
-// read the store, when it takes or loses a seat, and when another daemon has shown that the store has changes.
-func (r *Reader) pauseAfterFailure(ctx context.Context, now time.Time) {
+// read the store, when it takes or loses a seat, and when another daemon has shown that the store has changes. The calls of a hub begin
+// AwayCallInterval apart at most, as the last one that failed bounds from when the store may have been back.
+func (r *Reader) pauseAfterFailure(ctx context.Context, begun, now time.Time) {
 	if now.Sub(r.failedAt) > outageMemory {
 		// The last failure belongs to an earlier outage.
 		r.retryPause = minRetryPause
 	}
 	r.failedAt = now
 	_, seated := r.seats.Held()
-	timer := time.NewTimer(r.retryPause/2 + rand.N(r.retryPause))
+	pause := r.retryPause/2 + rand.N(r.retryPause)
+	if seated {
+		pause = min(pause, max(mangostate.AwayCallInterval-now.Sub(begun), minRetryPause/2))
+	}
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	r.retryPause = min(2*r.retryPause, r.maxRetryPause())
 	tick := time.NewTicker(roleCheckInterval)
@@ -190,19 +208,19 @@
 	}
 }
 
-// RecordCall records whether a call that another component of this daemon made reached the store.
-func (r *Reader) RecordCall(err error) { r.mirror.SetOwnContact(err == nil) }
+// RecordCall records whether a call that another component of this daemon made, and that began at a time, reached the store.
+func (r *Reader) RecordCall(begun time.Time, err error) { r.mirror.SetOwnContact(err == nil, begun) }
 
 // recordResult records whether a call of Run reached the store. A compacted history shows that it did. A refusal without a call shows
 // nothing: taken for contact, it would hide an outage in which snapshots fail after a restore.
-func (r *Reader) recordResult(err error) {
+func (r *Reader) recordResult(begun time.Time, err error) {
 	if isKind(err, mangostate.KindRestored) {
 		return
 	}
 	if isKind(err, mangostate.KindCompacted) {
 		err = nil
 	}
-	r.RecordCall(err)
+	r.RecordCall(begun, err)
 	if err == nil {
 		r.retryPause = minRetryPause
 		r.onContact()
@@ -217,6 +235,15 @@
 func (r *Reader) read(ctx context.Context, snapshot, fresh bool) (items []Item, revision uint64, abandoned bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	wait := maxWatchWait
+	if r.failedCalls > 0 && !snapshot {
+		wait = probeWait
+		if r.failedCalls%slowProbeEach != 0 {
+			var end context.CancelFunc
+			ctx, end = context.WithTimeout(ctx, probeTimeout)
+			defer end()
+		}
+	}
 	done, cancelled := make(chan struct{}), make(chan bool, 1)
 	go func() {
 		cancelled <- r.cancelWhenUnneeded(done, cancel, snapshot)
@@ -224,7 +251,7 @@
 	if snapshot {
 		items, revision, err = r.store.Snapshot(ctx, fresh)
 	} else {
-		items, revision, err = r.store.Watch(ctx, r.mirror.Revision(), maxWatchWait)
+		items, revision, err = r.store.Watch(ctx, r.mirror.Revision(), wait)
 	}
 	close(done)
 	// An answer that arrived just before the cancellation is still used.
--- a/internal/mangohub/server.go
+++ b/internal/mangohub/server.go
@@ -21,8 +21,8 @@
 	remoteLoadHeartbeats = 4
 	// maxUpdateBytes bounds the items of one update, unless a single item is larger.
 	maxUpdateBytes = 1 << 20
-	// returnTold is the time for which followers are told that the store was lost and is back.
-	returnTold = 5 * time.Second
+	// outageTold is the time for which followers are told that the store was away.
+	outageTold = 5 * time.Second
 	// maxQueuedAnnouncements bounds the announcements that wait for one follower; later ones are dropped.
 	maxQueuedAnnouncements = 256
 )
@@ -246,10 +246,13 @@
 
 // contactUpdate returns an update that only says whether the store is reached.
 func (s *Server) contactUpdate() *mangomessage.FollowUpdate {
-	reached, backAt := s.mirror.Contact()
-	u := &mangomessage.FollowUpdate{Path: append([]string{s.self}, s.mirror.Path()...), StoreLost: !reached, ConfirmedAgeMs: uint32(min(s.mirror.ConfirmedAge(), time.Hour).Milliseconds())}
-	if !backAt.IsZero() && time.Since(backAt) < returnTold {
-		u.StoreBackMs = uint32(max(time.Since(backAt).Milliseconds(), 1))
+	u := &mangomessage.FollowUpdate{Path: append([]string{s.self}, s.mirror.Path()...), StoreLost: !s.mirror.Contact(), ConfirmedAgeMs: uint32(min(s.mirror.ConfirmedAge(), time.Hour).Milliseconds())}
+	outage := s.mirror.Outage()
+	if age := time.Since(outage.At); age < outageTold {
+		u.StoreAwayMs, u.AwayLocally = uint32(max(age.Milliseconds(), 1)), outage.OnlyLocal
+	}
+	if since, reached := s.mirror.ContactSince(); reached {
+		u.ContactMs = uint32(min(time.Since(since), time.Hour).Milliseconds())
 	}
 	return u
 }
--- a/internal/mangostate/contact.go
+++ b/internal/mangostate/contact.go
@@ -9,6 +9,14 @@
 // counts as down. Daemons that reach the store tell each other about once a second.
 const storeDownAfter = 1900 * time.Millisecond
 
+// Outage is a time in which the store was away, so that entries of replicas may have lapsed.
+type Outage struct {
+	// At is the last time at which the store is known to have been away. It was back any time after that.
+	At time.Time
+	// OnlyLocal says that the store was away from the data centre of this daemon only: the replicas of others reached it.
+	OnlyLocal bool
+}
+
 // Contact records when this daemon, or another one that it hears from, last reached the store. It is safe for concurrent use.
 type Contact struct {
 	// lastSeen is the time of the last contact, in nanoseconds since start.
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -20,8 +20,17 @@
 	// watch is cancelled and started again: its connection may be dead, or the store may have dropped it.
 	// It is above the pause that a reader of the store makes in a burst of changes.
 	maxWatchLag = 350 * time.Millisecond
-	// recoveryGrace is the time that replicas have to renew lapsed entries after the store has become reachable again.
+	// recoveryGrace is the time that replicas have to renew lapsed entries after the store has returned from a copy.
 	recoveryGrace = 2200 * time.Millisecond
+	// lapseGrace is the time after the store was last known to be away in which replicas may yet renew lapsed entries: the 2 s that they
+	// take, and AwayCallInterval, as the store was back some time before the first call that reached it.
+	lapseGrace = 2*time.Second + AwayCallInterval
+	// AwayCallInterval bounds the time between the begins of two calls of a hub while the store is away.
+	AwayCallInterval = 800 * time.Millisecond
+	// expireInterval is the time between two looks for what expires without an event, and missingExpireInterval the same while entries are
+	// missing.
+	expireInterval        = 275 * time.Millisecond
+	missingExpireInterval = 25 * time.Millisecond
 	// reportQueueSize bounds the layer reports, and the orders, that wait for Run.
 	reportQueueSize = 256
 	// minRetryPause and maxRetryPause bound the growing pause after a failed call.
@@ -42,21 +51,22 @@
 	layerReports chan mangoreplica.LayerReport
 	orders       chan mangoreplica.LayerReport
 	restartWatch chan struct{}
-	// returnTime returns when the store was back after it was last away.
-	returnTime func() time.Time
-
-	state state
+	state        state
 }
 
 // Option sets a property of a Controller.
 type Option func(*Controller)
 
 // WithLogger sets the logger of changes of the state.
-func WithLogger(l logrus.FieldLogger) Option { return func(c *Controller) { c.logger = l } }
+func WithLogger(l logrus.FieldLogger) Option {
+	return func(c *Controller) { c.logger, c.state.logger = l, l }
+}
+
+// WithOutage sets the function that returns when the store was last away; the default is that it never was.
+func WithOutage(f func() Outage) Option { return func(c *Controller) { c.state.outage = f } }
 
-// WithReturnTime sets the function that returns when the store was back after it was last away, zero if it never was. The default
-// is the time of the first answer after a failure, which may be much later.
-func WithReturnTime(f func() time.Time) Option { return func(c *Controller) { c.returnTime = f } }
+// WithDataCentre sets the data centre of this daemon.
+func WithDataCentre(name string) Option { return func(c *Controller) { c.state.dataCentre = name } }
 
 // New returns a controller with an empty view. The controller drops what the health tracker holds about replicas that are
 // gone.
@@ -64,12 +74,12 @@
 	c := &Controller{
 		feed: feed, health: health, logger: logrus.StandardLogger(), reachability: make(chan bool, 1),
 		revisions: make(chan uint64, 1), layerReports: make(chan mangoreplica.LayerReport, reportQueueSize),
-		orders: make(chan mangoreplica.LayerReport, reportQueueSize), restartWatch: make(chan struct{}, 1), returnTime: time.Now,
+		orders: make(chan mangoreplica.LayerReport, reportQueueSize), restartWatch: make(chan struct{}, 1), state: newState(logrus.StandardLogger(), recoveryGrace),
 	}
+	c.state.lapseGrace = lapseGrace
 	for _, o := range opts {
 		o(c)
 	}
-	c.state = newState(c.logger, recoveryGrace)
 	c.view.Store(&View{Fleet: mangoreplica.NewFleet(nil)})
 	return c
 }
@@ -142,8 +152,8 @@
 		<-ended
 	}()
 	// Missing entries, layer overrides and the marks of moving replicas expire without any event.
-	tick := time.NewTicker(recoveryGrace / 8)
-	defer tick.Stop()
+	expiry := time.NewTimer(expireInterval)
+	defer expiry.Stop()
 	lagTimer := time.NewTimer(time.Hour)
 	defer lagTimer.Stop()
 	awaited := uint64(0)
@@ -154,13 +164,14 @@
 		case a := <-answers:
 			c.applyAnswer(a)
 		case ok := <-c.reachability:
-			if c.state.setReachable(ok, c.returnTime(), time.Now()) {
+			if c.state.setReachable(ok, time.Now()) {
 				c.publish()
 			}
-		case <-tick.C:
+		case <-expiry.C:
 			if c.state.expire(time.Now()) {
 				c.publish()
 			}
+			expiry.Reset(c.state.expireInterval())
 		case s := <-c.layerReports:
 			if c.state.applyLayerReport(s, time.Now()) {
 				c.publish()
@@ -202,7 +213,7 @@
 	if a.err != nil {
 		changed := false
 		if !isCompacted(a.err) {
-			changed = c.state.setReachable(false, time.Time{}, now)
+			changed = c.state.setReachable(false, now)
 		}
 		c.logger.WithFields(logrus.Fields{
 			"event": "store_read_failed", "revision": mangorevision.Text(c.state.revision), "age_ms": now.Sub(c.state.lastAnswer).Milliseconds(),
@@ -212,7 +223,7 @@
 		}
 		return
 	}
-	changed := c.state.setReachable(true, c.returnTime(), now)
+	changed := c.state.setReachable(true, now)
 	changed = c.state.recordRevision(a.revision, now) || changed
 	changed = c.state.applyAnswer(a, now) || changed
 	c.state.revision, c.state.lastAnswer = a.revision, now
--- a/internal/mangostate/poller.go
+++ b/internal/mangostate/poller.go
@@ -28,9 +28,9 @@
 	contact       *Contact
 	announce      func(revision uint64)
 	peerConfirmed chan struct{}
-	// polls reports whether this daemon polls at all, and onResult takes the error of each poll.
+	// polls reports whether this daemon polls at all, and onResult takes the begin and the error of each poll.
 	polls    func() bool
-	onResult func(err error)
+	onResult func(begun time.Time, err error)
 }
 
 // PollerOption sets a property of a Poller.
@@ -39,15 +39,17 @@
 // WithPolls sets the function that reports whether this daemon polls; the default is that it does.
 func WithPolls(f func() bool) PollerOption { return func(p *Poller) { p.polls = f } }
 
-// WithPollResult sets the function that takes the error of each poll, nil if it reached the store. The default reports it to
+// WithPollResult sets the function that takes the begin and the error of each poll, nil if it reached the store. The default reports it to
 // the controller.
-func WithPollResult(f func(err error)) PollerOption { return func(p *Poller) { p.onResult = f } }
+func WithPollResult(f func(begun time.Time, err error)) PollerOption {
+	return func(p *Poller) { p.onResult = f }
+}
 
 // NewPoller returns a poller; announce sends the revision to the other daemons and must not block.
 func NewPoller(controller *Controller, store RevisionReader, contact *Contact, announce func(revision uint64), opts ...PollerOption) *Poller {
 	p := &Poller{
 		controller: controller, store: store, contact: contact, announce: announce, peerConfirmed: make(chan struct{}, 1),
-		polls: func() bool { return true }, onResult: func(err error) { controller.ReportReachable(err == nil) },
+		polls: func() bool { return true }, onResult: func(_ time.Time, err error) { controller.ReportReachable(err == nil) },
 	}
 	for _, o := range opts {
 		o(p)
@@ -93,8 +95,9 @@
 func (p *Poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	begun := time.Now()
 	revision, err := p.store.Revision(ctx)
-	p.onResult(err)
+	p.onResult(begun, err)
 	if err != nil {
 		return
 	}
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -15,8 +15,13 @@
 type state struct {
 	logger        logrus.FieldLogger
 	recoveryGrace time.Duration
-	table         *mangoroute.Table
-	replicas      map[string]*mangoreplica.Replica
+	// lapseGrace is the time after the store was last known to be away for which the absence of an entry shows nothing, and outage
+	// returns that time. dataCentre is that of this daemon.
+	lapseGrace time.Duration
+	outage     func() Outage
+	dataCentre string
+	table      *mangoroute.Table
+	replicas   map[string]*mangoreplica.Replica
 	// layerOverrides has the layers of replicas whose entries are out of date, by replica id.
 	layerOverrides map[string]layerOverride
 	// moving has the time of the last order by which a replica gave up layers, by replica id.
@@ -30,12 +35,10 @@
 	// fence is the highest revision seen of PlacementKey, whose holder may be gone.
 	fence  uint64
 	synced bool
-	// reachable is false from a failed call to the next answer; returnedAt is when the store was back after it was last away,
-	// which may be before that answer, and zero if it never was.
-	reachable  bool
-	returnedAt time.Time
-	// restoredAt is when the first answer of the latest era came, and zero if there was one era only. It is apart from returnedAt,
-	// which a change of hubs may set back.
+	// reachable is false from a failed call to the next answer.
+	reachable bool
+	// restoredAt is when the first answer of the latest era came, or could have come, and zero if there was one era only. It is apart
+	// from the outage, of which a change of hubs may show that there was none.
 	restoredAt time.Time
 	lastAnswer time.Time
 	revision   uint64
@@ -44,29 +47,28 @@
 
 func newState(logger logrus.FieldLogger, recoveryGrace time.Duration) state {
 	return state{
-		logger: logger, recoveryGrace: recoveryGrace, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{}, invalid: map[string]bool{},
+		logger: logger, recoveryGrace: recoveryGrace, lapseGrace: recoveryGrace, outage: func() Outage { return Outage{} }, replicas: map[string]*mangoreplica.Replica{}, missing: map[string]bool{}, invalid: map[string]bool{},
 		layerOverrides: map[string]layerOverride{}, moving: map[string]time.Time{},
 		keys: map[string]string{}, reachable: true, fleet: mangoreplica.NewFleet(nil),
 	}
 }
 
-// setReachable records whether a call reached the store, and if so, when the store was back after it was last away. It reports
-// whether the store's being reachable changed.
-func (s *state) setReachable(ok bool, returnedAt, now time.Time) bool {
+// setReachable records whether a call reached the store. It reports whether that changed.
+func (s *state) setReachable(ok bool, now time.Time) bool {
 	if ok == s.reachable {
 		return false
 	}
 	s.reachable = ok
 	if ok {
-		s.returnedAt = returnedAt
+		outage := s.outage()
 		entry := s.logger.WithFields(logrus.Fields{
-			"event": "store_back", "revision": mangorevision.Text(s.revision), "age_ms": now.Sub(s.lastAnswer).Milliseconds(), "was_away": !returnedAt.IsZero(),
+			"event": "store_back", "revision": mangorevision.Text(s.revision), "age_ms": now.Sub(s.lastAnswer).Milliseconds(), "was_away": !outage.At.IsZero(),
+			"only_local": outage.OnlyLocal,
 		})
-		if !returnedAt.IsZero() {
-			entry = entry.WithField("returned_ms", now.Sub(returnedAt).Milliseconds())
+		if !outage.At.IsZero() {
+			entry = entry.WithField("away_ms", now.Sub(outage.At).Milliseconds())
 		}
-		entry.
-			Info("the store is reachable again")
+		entry.Info("the store is reachable again")
 		return true
 	}
 	s.logger.WithFields(logrus.Fields{"event": "store_lost", "revision": mangorevision.Text(s.revision), "age_ms": now.Sub(s.lastAnswer).Milliseconds()}).
@@ -81,17 +83,26 @@
 		return false
 	}
 	s.restoredAt = now
+	if at := s.outage().At; at.After(s.lastAnswer) && now.Sub(at) > s.lapseGrace-s.recoveryGrace {
+		// This daemon was without the store for longer than it takes to notice a return, which may have been that long ago.
+		s.restoredAt = at.Add(s.lapseGrace - s.recoveryGrace)
+	}
 	s.logger.WithFields(logrus.Fields{
 		"event": "store_restored", "revision": mangorevision.Text(revision), "previous": mangorevision.Text(s.revision),
 	}).Warn("the store has returned from a copy of an earlier state")
 	return true
 }
 
-// absenceInconclusive reports whether the absence of an entry does not show that its replica is gone: the store is
-// unreachable, or was back or returned from a copy less than recoveryGrace ago. The time counts from the return of the store and not
-// from that of the contact, which also ends and begins with a change of hubs.
-func (s *state) absenceInconclusive(now time.Time) bool {
-	return !s.reachable || (!s.returnedAt.IsZero() && now.Sub(s.returnedAt) < s.recoveryGrace) || s.restoredLately(now)
+// absenceInconclusive reports whether the absence of an entry does not show that its replica, of a data centre, is gone: the store is
+// unreachable, was away less than lapseGrace ago, or returned from a copy less than recoveryGrace ago. The time counts from the outage and
+// not from the return of this daemon's contact, which may be later, and come more than once.
+func (s *state) absenceInconclusive(dataCentre string, now time.Time) bool {
+	if !s.reachable || s.restoredLately(now) {
+		return true
+	}
+	outage := s.outage()
+	hadStore := outage.OnlyLocal && dataCentre != s.dataCentre
+	return !hadStore && !outage.At.IsZero() && now.Sub(outage.At) < s.lapseGrace
 }
 
 // restoredLately reports whether the store returned from a copy less than recoveryGrace ago.
@@ -261,7 +272,7 @@
 	if r == nil {
 		return false
 	}
-	if s.absenceInconclusive(now) {
+	if s.absenceInconclusive(r.DataCentre, now) {
 		if !s.missing[id] {
 			s.missing[id] = true
 			s.logReplica("replica_missing", r).Info("a replica is kept although its entry is missing, since the store was unreachable")
@@ -276,20 +287,27 @@
 	return true
 }
 
-// expire drops moving marks that are past their time and, while the store is reliably reachable, also layer overrides and
-// the replicas whose entries are still missing. It reports whether anything changed.
+// expire drops moving marks that are past their time, the replicas whose entries are still missing once that shows that they are gone, and,
+// while the store is reliably reachable, layer overrides. It reports whether anything changed.
 func (s *state) expire(now time.Time) bool {
-	moved := s.expireMoving(now)
-	if s.absenceInconclusive(now) {
-		return moved
+	changed := s.expireMoving(now)
+	if !s.absenceInconclusive(s.dataCentre, now) {
+		changed = s.expireLayerOverrides(now) || changed
 	}
-	changed := s.expireLayerOverrides(now) || moved
 	for id := range s.missing {
 		changed = s.removeReplica(id, now) || changed
 	}
 	return s.rebuildFleet(changed)
 }
 
+// expireInterval returns the time until the next call of expire.
+func (s *state) expireInterval() time.Duration {
+	if len(s.missing) > 0 {
+		return missingExpireInterval
+	}
+	return expireInterval
+}
+
 // updateKey takes the value of a key that daemons write; it reports whether it changed. An empty value deletes the key.
 func (s *state) updateKey(key, value string, revision uint64) bool {
 	if key == PlacementKey && value != "" {
--- a/internal/mangostate/state_test.go
+++ b/internal/mangostate/state_test.go
@@ -44,10 +44,10 @@
 func TestReplicaEntryLapses(t *testing.T) {
 	tests := []struct {
 		name string
-		// lost and returned are the times at which the contact to the store ends and is made again; 0 means never. storeBack is when
-		// the store itself was back, 0 if it was so at returned, and neverAway says that it never was away.
-		lost, returned, storeBack float64
-		neverAway                 bool
+		// lost and returned are the times at which the contact to the store ends and is made again; 0 means never. away is when the store was
+		// last known to be away, 0 if it never was, and onlyLocal says that other data centres had it.
+		lost, returned, away float64
+		onlyLocal            bool
 		// gone and back are the times at which the entry is removed and renewed; back is 0 if it is not.
 		gone  float64
 		back  float64
@@ -56,34 +56,42 @@
 	}{
 		{name: "removed while the store is reachable", gone: 5, check: 5, want: false},
 		{name: "removed while the store is unreachable", lost: 1, gone: 2, check: 4, want: true},
-		{name: "removed just after the outage", lost: 1, returned: 4, gone: 4.1, check: 5, want: true},
-		{name: "still missing after the grace time", lost: 1, returned: 4, gone: 4.1, check: 7, want: false},
-		{name: "renewed after the outage", lost: 1, returned: 4, gone: 4.1, back: 5, check: 7, want: true},
-		{name: "removed long after the outage", lost: 1, returned: 2, gone: 9, check: 9, want: false},
-		{name: "contact long after the store was back", lost: 1, returned: 9, storeBack: 5, gone: 9.1, check: 9.1, want: false},
-		{name: "contact soon after the store was back", lost: 1, returned: 6, storeBack: 5, gone: 6.1, check: 6.9, want: true},
-		{name: "the same, a grace time after the store was back", lost: 1, returned: 6, storeBack: 5, gone: 6.1, check: 7.1, want: false},
-		{name: "only the contact was away", lost: 1, returned: 2, neverAway: true, gone: 2.1, check: 2.1, want: false},
+		{name: "removed just after the outage", lost: 1, returned: 4, away: 4, gone: 4.1, check: 5, want: true},
+		{name: "still missing after the grace time", lost: 1, returned: 4, away: 4, gone: 4.1, check: 7, want: false},
+		{name: "renewed after the outage", lost: 1, returned: 4, away: 4, gone: 4.1, back: 5, check: 7, want: true},
+		{name: "removed long after the outage", lost: 1, returned: 2, away: 2, gone: 9, check: 9, want: false},
+		{name: "contact long after the store was away", lost: 1, returned: 9, away: 5, gone: 9.1, check: 9.1, want: false},
+		{name: "contact soon after the store was away", lost: 1, returned: 6, away: 5, gone: 6.1, check: 6.9, want: true},
+		{name: "the same, a grace time after the store was away", lost: 1, returned: 6, away: 5, gone: 6.1, check: 7.1, want: false},
+		{name: "only the contact was away", lost: 1, returned: 2, gone: 2.1, check: 2.1, want: false},
+		{name: "the store was away from another data centre than the replica's", lost: 1, returned: 6, away: 5, onlyLocal: true, gone: 6.1, check: 6.1, want: false},
+		{name: "contact lost again while the entry is missing", lost: 6, returned: 6.5, away: 5, gone: 5.5, check: 7.1, want: false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newState(discardLogger(), 2*time.Second)
+			s.dataCentre = "b"
+			s.outage = func() Outage {
+				if tt.away == 0 {
+					return Outage{}
+				}
+				return Outage{At: at(tt.away), OnlyLocal: tt.onlyLocal}
+			}
 			addReplicas(&s, "r")
+			remove := func() { s.applyAnswer(answer{changes: []Change{{RemovedReplica: "r"}}}, at(tt.gone)) }
+			if tt.lost > tt.gone {
+				remove()
+			}
 			if tt.lost > 0 {
-				s.setReachable(false, time.Time{}, at(tt.lost))
+				s.setReachable(false, at(tt.lost))
 			}
 			if tt.returned > 0 {
-				back := at(tt.returned)
-				switch {
-				case tt.neverAway:
-					back = time.Time{}
-				case tt.storeBack > 0:
-					back = at(tt.storeBack)
-				}
-				s.setReachable(true, back, at(tt.returned))
+				s.setReachable(true, at(tt.returned))
+			}
+			if tt.lost <= tt.gone {
+				remove()
 			}
-			s.applyAnswer(answer{changes: []Change{{RemovedReplica: "r"}}}, at(tt.gone))
 			if tt.back > 0 {
 				s.applyAnswer(answer{changes: []Change{{Replica: replica("r", 0, 12)}}}, at(tt.back))
 			}
@@ -136,7 +144,7 @@
 		{"the entry changes", func(s *state) {
 			s.applyAnswer(answer{changes: []Change{{Replica: replica("r", 0, 20)}}}, at(0.5))
 		}, 1, 20},
-		{"the store is unreachable", func(s *state) { s.setReachable(false, time.Time{}, at(0.5)) }, 6, 13},
+		{"the store is unreachable", func(s *state) { s.setReachable(false, at(0.5)) }, 6, 13},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -222,7 +230,7 @@
 			s.applyLayerReport(mangoreplica.LayerReport{Replica: mangoreplica.Incarnation{ID: "r"}, Layers: r(5, 20)}, at(0.5))
 		}, 1, r(5, 20), true},
 		{"the order was not carried out", r(20, 30), func(*state) {}, 4, r(0, 12), false},
-		{"the store is unreachable", r(5, 20), func(s *state) { s.setReachable(false, time.Time{}, at(0.5)) }, 4, r(5, 12), false},
+		{"the store is unreachable", r(5, 20), func(s *state) { s.setReachable(false, at(0.5)) }, 4, r(5, 12), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
