Promise that a booking has not run only if its replica states it

Cause: the relay counted such an answer as one of a request that may have run, since it lacks X-Mangopath-Not-Executed, but passed its status on unchanged.

Change: if a request must not run twice, an answer with a status that promises (408, 421, 429, 503) and without the statement gives 502 of the daemon's own, without the seal. This works because the promise is now made only where a replica or the daemon itself knows it. Requests that may be repeated get the replica's answer as before.

--- a/internal/mangorelay/send.go
+++ b/internal/mangorelay/send.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"mangopath.org/mangopath/internal/mangoconn"
 	"mangopath.org/mangopath/internal/mangoreplica"
 	"mangopath.org/mangopath/internal/mangoroute"
@@ -85,6 +87,11 @@
 	}
 	c.mayHaveRunOn[t.first.ID] = true
 	c.relay.clearOutage(t.first, c.request.ID)
+	if c.isUnprovenRefusal(answer) {
+		c.relay.health.RecordResult(t.first.Incarnation(), true, time.Now())
+		c.logUnprovenRefusal(t, answer)
+		return resultLost
+	}
 	if c.started && !c.continuesStream(answer) {
 		c.failedReplicas[t.first.ID] = true
 		c.relay.health.RecordResult(t.first.Incarnation(), true, time.Now())
@@ -102,6 +109,28 @@
 // more, and run this one. Refusals need not name the request; on a new connection there is no earlier one.
 func (c *call) isRefusalOfThis(a AnswerHead) bool { return a.ID == "" || a.ID == c.request.ID }
 
+// promisesNotRun reports whether callers take a status for the promise that their request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// isUnprovenRefusal reports whether an answer would promise that a request which must not run twice has not run, although its upstream does
+// not state that. The caller is told that it may have run instead, by an answer without the upstream's seal.
+func (c *call) isUnprovenRefusal(a AnswerHead) bool {
+	return !c.route.Repeatable() && promisesNotRun(a.Status)
+}
+
+func (c *call) logUnprovenRefusal(t target, a AnswerHead) {
+	c.relay.logger.WithFields(logrus.Fields{
+		"event": "refusal_unproven", "request": c.request.ID, "replica": t.first.ID, "status": a.Status,
+	}).Warn("a replica refused a request without stating that it has not run; the caller is told that it may have")
+}
+
 // isGenuine reports whether an answer has the upstream's seal and belongs to this request.
 func (c *call) isGenuine(a AnswerHead) bool { return a.Sealed && a.ID == c.request.ID }
 
