Keep in the store which requests crash replicas

Cause: mangocrash keeps what it knows in memory, and daemons learn it from each other; when all end at once nobody knows it.

Change: mangoverdict writes one small record for each fingerprint that is refused or held, by a hub and away from the path of requests, and gives the records of others to the tracker before a view has them, so before the daemon is ready. This works because the store is the one part that outlasts all daemons, and the record has what the tracker judges by.

--- a/internal/mangocrash/change.go
+++ b/internal/mangocrash/change.go
@@ -10,10 +10,12 @@
 	Freed
 	// Tried means that one request with a blocked fingerprint was let through.
 	Tried
+	// Restored means that the fingerprint is refused by a record of other daemons, or of this one before its last start.
+	Restored
 )
 
 // String returns the name of an event as it appears in logs.
-func (e Event) String() string { return [...]string{"Condemned", "Freed", "Tried"}[e] }
+func (e Event) String() string { return [...]string{"Condemned", "Freed", "Tried", "Restored"}[e] }
 
 // Change is a change of the verdict on a fingerprint.
 type Change struct {
--- a/internal/mangoentry/daemon.go
+++ b/internal/mangoentry/daemon.go
@@ -30,6 +30,7 @@
 	"mangopath.org/mangopath/internal/mangoshutdown"
 	"mangopath.org/mangopath/internal/mangoslowness"
 	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/internal/mangoverdict"
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
@@ -47,6 +48,7 @@
 	health       *mangoreplica.HealthTracker
 	budget       *mangobudget.Budget
 	crashes      *mangocrash.CrashTracker
+	verdicts     *mangoverdict.Keeper
 	relay        *mangorelay.Relay
 	broadcaster  *mangobroadcast.Broadcaster
 	poller       *mangostate.Poller
@@ -69,14 +71,14 @@
 
 func newDaemon(
 	settings *mangomessage.RelaySettings, logger *logrus.Logger, logWriter *mangolog.Writer, self mangostate.Member,
-	controller *mangostate.Controller, health *mangoreplica.HealthTracker, budget *mangobudget.Budget, crashes *mangocrash.CrashTracker,
+	controller *mangostate.Controller, health *mangoreplica.HealthTracker, budget *mangobudget.Budget, crashes *mangocrash.CrashTracker, verdicts *mangoverdict.Keeper,
 	relay *mangorelay.Relay, broadcaster *mangobroadcast.Broadcaster, poller *mangostate.Poller, monitor *mangoliveness.Monitor, checker *mangocheck.Checker, slowDetector *mangoslowness.Detector, peers *mangopeer.Client, placement placementLease, deputy *mangodeputy.Deputy, seats *mangohub.Seats, hub *hubComponents,
 	placer *mangolayout.Placer, ingress *ingress, metrics *mangometric.RelayMetrics, registry *prometheus.Registry, shutdown *mangoshutdown.Shutdown, memory *mangomemory.Pool,
 	conns *mangoconn.Pool,
 ) *Daemon {
 	return &Daemon{
 		settings: settings, logger: logger, logWriter: logWriter, self: self, controller: controller, health: health, budget: budget,
-		crashes: crashes, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, checker: checker, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
+		crashes: crashes, verdicts: verdicts, relay: relay, broadcaster: broadcaster, poller: poller, monitor: monitor, checker: checker, slowDetector: slowDetector, peers: peers, placement: placement, deputy: deputy, seats: seats, hub: hub, placer: placer,
 		ingress: ingress, metrics: metrics, registry: registry, shutdown: shutdown, memory: memory, conns: conns,
 	}
 }
@@ -140,6 +142,7 @@
 	run("loads", func() error { return d.hub.reporter.Run(componentCtx) })
 	run("placement", func() error { return d.placement.Run(dutyCtx) })
 	run("deputy", func() error { return d.deputy.Run(dutyCtx) })
+	run("verdicts", func() error { return d.verdicts.Run(dutyCtx) })
 	run("placer", func() error { return d.placer.Run(dutyCtx) })
 	run("peers", func() error { return peerServer.Serve(componentCtx, listeners.peers) })
 	run("readiness", func() error { return readiness.Serve(listeners.readiness) })
--- a/internal/mangoentry/provide.go
+++ b/internal/mangoentry/provide.go
@@ -27,6 +27,7 @@
 	"mangopath.org/mangopath/internal/mangoshutdown"
 	"mangopath.org/mangopath/internal/mangoslowness"
 	"mangopath.org/mangopath/internal/mangostate"
+	"mangopath.org/mangopath/internal/mangoverdict"
 	"mangopath.org/mangopath/pkg/mangomessage"
 	"mangopath.org/mangopath/platform"
 )
@@ -108,6 +109,15 @@
 	)
 }
 
+// provideVerdictKeeper also makes the controller deliver the records of other daemons.
+func provideVerdictKeeper(
+	self mangostate.Member, state *mangostate.Controller, crashes *mangocrash.CrashTracker, store *platform.Store, logger *logrus.Logger,
+) *mangoverdict.Keeper {
+	k := mangoverdict.New(self.Name, crashes, store, state, mangoverdict.WithLogger(logger))
+	state.OnKey(mangoverdict.KeyPrefix, k.HandleKey)
+	return k
+}
+
 func providePeers(s *mangomessage.RelaySettings) *mangopeer.Client {
 	return mangopeer.NewClient(provideCredentials(s))
 }
--- a/internal/mangoentry/wire.go
+++ b/internal/mangoentry/wire.go
@@ -20,7 +20,7 @@
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, provideVerdictKeeper, providePeers, provideBroadcaster,
 	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHandover, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections,
--- a/internal/mangoentry/wire_gen.go
+++ b/internal/mangoentry/wire_gen.go
@@ -31,8 +31,14 @@
 	controller := provideController(member, mirror, healthTracker, logger)
 	budget := provideBudget(settings)
 	crashTracker := provideCrashTracker(settings, controller, logger)
-	dialer := mangoconn.New()
 	registry := provideRegistry()
+	relayMetrics, err := mangometric.NewRelay(registry)
+	if err != nil {
+		return nil, err
+	}
+	store := provideStore(settings, relayMetrics, logger)
+	keeper := provideVerdictKeeper(member, controller, crashTracker, store, logger)
+	dialer := mangoconn.New()
 	connectionMetrics, err := mangometric.NewConnections(registry)
 	if err != nil {
 		return nil, err
@@ -40,11 +46,6 @@
 	pool := provideConns(member, dialer, controller, healthTracker, connectionMetrics)
 	client := providePeers(settings)
 	mangoentryBootID := provideBootID()
-	relayMetrics, err := mangometric.NewRelay(registry)
-	if err != nil {
-		return nil, err
-	}
-	store := provideStore(settings, relayMetrics, logger)
 	contact := mangostate.NewContact()
 	seats := provideSeats(settings, member, mangoentryBootID, store, controller, contact, logger)
 	follower := provideFollower(member, client, controller, mirror, seats, logger)
@@ -70,7 +71,7 @@
 	mangoentryHubComponents := provideHubComponents(reader, follower, server, reporter, handover)
 	placer := providePlacer(controller, deputy, replicaClient, healthTracker, broadcaster, relayMetrics, logger)
 	mangoentryIngress := newIngress(relay, controller, shutdown, mangomemoryPool, logger)
-	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, relay, broadcaster, poller, monitor, checker, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, shutdown, mangomemoryPool, pool)
+	daemon := newDaemon(settings, logger, logWriter, member, controller, healthTracker, budget, crashTracker, keeper, relay, broadcaster, poller, monitor, checker, detector, client, mangoentryPlacementLease, deputy, seats, mangoentryHubComponents, placer, mangoentryIngress, relayMetrics, registry, shutdown, mangomemoryPool, pool)
 	return daemon, nil
 }
 
@@ -78,7 +79,7 @@
 
 // providers lists the constructors of all components of a daemon.
 var providers = wire.NewSet(
-	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, providePeers, provideBroadcaster,
+	provideBootID, provideSelf, provideStore, mangostate.NewContact, mangohub.NewMirror, mangohub.NewLoadTable, mangohub.NewDemandTable, mangocapacity.NewTracker, provideController, provideBudget, provideCrashTracker, provideVerdictKeeper, providePeers, provideBroadcaster,
 	providePoller, provideEngines, provideMemory, provideLimiter, provideSlowDetector, provideChecker, provideRelay, provideMonitor, provideDeputy, providePlacementLease, providePlacer,
 	provideSeats, provideFollower, provideReader, provideReporter, provideHubServer, provideHandover, provideHubComponents, provideRegistry, mangoshutdown.New, newIngress,
 	newDaemon, mangoreplica.NewHealthTracker, mangoconn.New, provideConns, mangometric.NewRelay, mangometric.NewConnections, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
--- a/internal/mangostate/controller.go
+++ b/internal/mangostate/controller.go
@@ -97,6 +97,12 @@
 	return ch
 }
 
+// OnKey sets a function that takes each change of a key below a prefix, before a view has it; an empty value means that the key was
+// removed. fromCopy says that the store has lately returned from a copy. OnKey must be called before Run.
+func (c *Controller) OnKey(prefix string, handle func(key, value string, fromCopy bool)) {
+	c.state.keyHandlers = append(c.state.keyHandlers, keyHandler{prefix, handle})
+}
+
 // ReportReachable records whether a call that another component of this daemon made reached the store. It never blocks.
 func (c *Controller) ReportReachable(ok bool) {
 	select {
--- a/internal/mangostate/state.go
+++ b/internal/mangostate/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,6 +33,8 @@
 	// invalid has the keys of items that cannot be read, each of which is logged once.
 	invalid map[string]bool
 	keys    map[string]string
+	// keyHandlers take the changes of the keys below their prefixes.
+	keyHandlers []keyHandler
 	// fence is the highest revision seen of PlacementKey, whose holder may be gone.
 	fence  uint64
 	synced bool
@@ -40,6 +43,8 @@
 	// restoredAt is when the first answer of the latest era came, or could have come, and zero if there was one era only. It is apart
 	// from the outage, of which a change of hubs may show that there was none.
 	restoredAt time.Time
+	// fromCopy says that the answer that is being applied may be that of a copy.
+	fromCopy   bool
 	lastAnswer time.Time
 	revision   uint64
 	fleet      *mangoreplica.Fleet
@@ -113,6 +118,7 @@
 // applyAnswer applies an answer of the feed; it reports whether anything changed.
 func (s *state) applyAnswer(a answer, now time.Time) bool {
 	changed := false
+	s.fromCopy = s.restoredLately(now)
 	if a.snapshot {
 		changed = s.removeAbsent(a.changes, now)
 	}
@@ -308,6 +314,12 @@
 	return expireInterval
 }
 
+// keyHandler takes the changes of the keys below a prefix.
+type keyHandler struct {
+	prefix string
+	handle func(key, value string, fromCopy bool)
+}
+
 // updateKey takes the value of a key that daemons write; it reports whether it changed. An empty value deletes the key.
 func (s *state) updateKey(key, value string, revision uint64) bool {
 	if key == PlacementKey && value != "" {
@@ -323,6 +335,11 @@
 	} else {
 		s.keys[key] = value
 	}
+	for _, h := range s.keyHandlers {
+		if strings.HasPrefix(key, h.prefix) {
+			h.handle(key, value, s.fromCopy)
+		}
+	}
 	s.logger.WithFields(logrus.Fields{"event": "key_changed", "key": key, "value": value, "revision": mangorevision.Text(s.revision)}).
 		Info("a key that daemons write changed")
 	return true
