Take no answer for complete whose connection was reset during the upload

Cause: a socket reports a reset to one call only. The write of the request took it, and the reads after it saw a plain end, which is all that ends such an answer.

Change: if the write has failed, the end of the connection ends the body with that error, so the answer counts as broken off. The client of plain services of mangopath serve waits for the result of its write before it takes such an answer. This works because the error of the write is the only place that still has the reset.

--- a/internal/mangoconn/exchange.go
+++ b/internal/mangoconn/exchange.go
@@ -135,6 +135,9 @@
 		return nil, err
 	}
 	response.sentWhole = writeErr == nil
+	if writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded) && response.endsWithConnection() {
+		response.body.endErr = writeErr
+	}
 	return response, nil
 }
 
--- a/internal/mangoconn/reuse.go
+++ b/internal/mangoconn/reuse.go
@@ -25,6 +25,8 @@
 	ended bool
 	// endedAt is when its end was read, from which the upstream counts how long the connection is idle.
 	endedAt time.Time
+	// endErr takes the place of the end of the body if that is not nil.
+	endErr error
 }
 
 // newCountedBody wraps the body of an answer.
@@ -35,6 +37,9 @@
 // Read implements io.Reader.
 func (b *countedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.endErr != nil && !b.ended {
+		return n, b.endErr
+	}
 	if err == io.EOF && !b.ended {
 		b.ended, b.endedAt = true, time.Now()
 	}
@@ -51,12 +56,18 @@
 	if !r.reusable || r.keep == nil || !r.sentWhole || r.Response.Close || !r.ProtoAtLeast(1, 1) {
 		return false
 	}
-	if r.ContentLength < 0 && (len(r.TransferEncoding) == 0 || r.TransferEncoding[0] != "chunked") {
+	if r.endsWithConnection() {
 		return false
 	}
 	return readBuffered(r.body, r.ContentLength, r.reader) && r.reader.Buffered() == 0
 }
 
+// endsWithConnection reports whether the end of the connection is the only sign of the end of the answer. If the upstream reset the
+// connection while the request was still being written, the write took the error, and reads see an end like any other.
+func (r *Response) endsWithConnection() bool {
+	return r.ContentLength < 0 && (len(r.TransferEncoding) == 0 || r.TransferEncoding[0] != "chunked")
+}
+
 // readBuffered reads the rest of a body if all of it has arrived, as that of a refusal has, and reports whether the body was
 // read to its end. It never waits.
 func readBuffered(body *countedBody, length int64, reader *bufio.Reader) bool {
--- a/internal/mangoupstream/service.go
+++ b/internal/mangoupstream/service.go
@@ -87,12 +87,40 @@
 	body   []byte
 }
 
+// maxWrites bounds the results of writes of one request that are kept.
+const maxWrites = 8
+
+// awaitWritten waits until a request has been written, and returns the error of the last write. An answer that ends with its connection is
+// complete only if there is none: a reset that reached the write leaves the reads a plain end.
+func awaitWritten(ctx context.Context, written <-chan error) error {
+	select {
+	case err := <-written:
+		for {
+			select {
+			case err = <-written:
+			default:
+				return err
+			}
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // roundTrip sends a request and reads the response. It follows no redirects. If it fails before there is a connection,
 // nothing was sent; if it fails later, the request may have run.
 func roundTrip(transport *http.Transport, request *http.Request, op string, maxBody int64) (reply, *Error) {
 	var connected atomic.Bool
+	// The transport may write a request more than once; the last result is that of the answer's connection.
+	written := make(chan error, maxWrites)
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			select {
+			case written <- i.Err:
+			default:
+			}
+		},
 	})
 	response, err := transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
@@ -109,6 +137,11 @@
 	if err != nil {
 		return reply{}, classifyError(ctx, op, err)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if err := awaitWritten(ctx, written); err != nil {
+			return reply{}, classifyError(ctx, op, err)
+		}
+	}
 	if int64(len(body)) > maxBody {
 		return reply{}, &Error{Op: op, Kind: KindProtocol, Err: errors.New("the reply exceeds the maximum body length")}
 	}
