Read an answer that has begun to its end

Cause: an idempotent request was given up for another replica, although a part of the answer had been passed on and nobody else could go on with it.

Change: the limits of silence ask whether another send can give the caller its answer. This works because the limit for a send without an alternative is its deadline.

--- a/internal/mangorelay/silence.go
+++ b/internal/mangorelay/silence.go
@@ -107,7 +107,7 @@
 // silenceLimits returns the silence after which the replicas are checked, and that after which the send is given up.
 func (l *silenceLimiter) silenceLimits() (soft, hard time.Duration) {
 	c := l.call
-	another := c.route.Repeatable() && c.attemptsWith(l.target.first) < c.route.MaxAttempts
+	another := c.canContinueElsewhere() && c.attemptsWith(l.target.first) < c.route.MaxAttempts
 	switch {
 	case len(l.target.stages) == 0 && c.route.Kind != mangoroute.Stream:
 		if !another {
@@ -127,6 +127,15 @@
 	}
 }
 
+// canContinueElsewhere reports whether another send can give the caller its answer. Of an answer that has begun, only a stream that may be
+// resumed can go on elsewhere.
+func (c *call) canContinueElsewhere() bool {
+	if !c.route.Repeatable() {
+		return false
+	}
+	return !c.started || (c.route.Kind == mangoroute.Stream && !c.position.unnumbered)
+}
+
 // anyPartMoved reports whether a replica of the chain started anew, or gave up layers that the chain uses. In the latter case
 // it still serves the requests that use these unless it was ordered not to wait for them, which their silence shows.
 func (l *silenceLimiter) anyPartMoved() bool {
--- a/internal/mangorelay/stream.go
+++ b/internal/mangorelay/stream.go
@@ -147,7 +147,7 @@
 
 // lostOrCut turns the loss of a started stream into resultCut if no other run can continue it.
 func (c *call) lostOrCut(r sendResult) sendResult {
-	if r == resultLost && c.started && (!c.route.Repeatable() || c.position.unnumbered) {
+	if r == resultLost && c.started && !c.canContinueElsewhere() {
 		return resultCut
 	}
 	return r
