Keep the time of an outage from drifting between hubs

Cause: hubs tell how long ago the store was away in milliseconds, rounded down, so each report dated the outage up to 1 ms later, and hubs that follow each other moved it on.

Change: a hub's time counts only if it is more than 20 ms later than the known one.

--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -9,6 +9,9 @@
 const (
 	// sameOutage is the difference up to which two times at which the store was away are taken for the same.
 	sameOutage = time.Second
+	// outageResolution is the difference below which a hub's time of an outage is not taken: it is rounded to milliseconds on each way, and
+	// hubs that follow each other would move it on without end.
+	outageResolution = 20 * time.Millisecond
 	// ownFailureLifetime is the time for which a failed own call tells of the store while this daemon does not read it.
 	ownFailureLifetime = 2 * time.Second
 	// ownPathTime is the time after the last successful call for which a daemon that does not read the store counts as reaching it itself.
@@ -95,7 +98,7 @@
 	defer m.mu.Unlock()
 	m.hub, m.hubPath = contactOf(h.Reached), h.Path
 	newOutage := h.Outage.At.Sub(m.outage.At) > sameOutage
-	if h.Outage.At.After(m.outage.At) {
+	if h.Outage.At.Sub(m.outage.At) > outageResolution {
 		m.outage = h.Outage
 	}
 	if h.Reached {
--- a/internal/mangohub/contact_test.go
+++ b/internal/mangohub/contact_test.go
@@ -115,6 +115,7 @@
 			outage[:6:6], contactStep{15 * s, endHub}, contactStep{15 * s, reading(true)}, contactStep{15 * s, ownCall(true)}, contactStep{16 * s, endHub},
 		), 1, 4500 * ms, false, false},
 		{"another hub saw its end a little later", append(outage[:6:6], contactStep{6 * s, endHub}, contactStep{6 * s, hubSays(awayAt(4.9))}), 1, 4900 * ms, false, false},
+		{"the hub's time is rounded up", append(outage[:6:6], contactStep{6 * s, hubSays(awayAt(4.501))}, contactStep{7 * s, hubSays(awayAt(4.502))}), 1, 4500 * ms, false, false},
 		{"no hub after it, and the store fails again", append(
 			outage[:6:6], contactStep{15 * s, endHub}, contactStep{15 * s, reading(true)}, contactStep{15 * s, ownCall(false)}, contactStep{17 * s, ownCall(true)},
 		), 2, 15*s - callTime, false, false},
--- a/internal/mangohub/follower.go
+++ b/internal/mangohub/follower.go
@@ -258,8 +258,8 @@
 	}
 	isLocal := hub.DataCentre == f.self.DataCentre
 	var outage mangostate.Outage
-	if u.GetStoreAwayMs() > 0 && (isLocal || !u.GetAwayLocally()) {
-		outage = mangostate.Outage{At: time.Now().Add(-time.Duration(u.GetStoreAwayMs()) * time.Millisecond), OnlyLocal: u.GetAwayLocally()}
+	if away := cmp.Or(u.GetStoreAwayMs(), u.GetStoreBackMs()); away > 0 && (isLocal || !u.GetAwayLocally()) {
+		outage = mangostate.Outage{At: time.Now().Add(-time.Duration(away) * time.Millisecond), OnlyLocal: u.GetAwayLocally()}
 	}
 	var since time.Time
 	if u.GetContactMs() > 0 {
--- a/internal/mangohub/server.go
+++ b/internal/mangohub/server.go
@@ -250,6 +250,7 @@
 	outage := s.mirror.Outage()
 	if age := time.Since(outage.At); age < outageTold {
 		u.StoreAwayMs, u.AwayLocally = uint32(max(age.Milliseconds(), 1)), outage.OnlyLocal
+		u.StoreBackMs = u.GetStoreAwayMs()
 	}
 	if since, reached := s.mirror.ContactSince(); reached {
 		u.ContactMs = uint32(min(time.Since(since), time.Hour).Milliseconds())
