Notice the return of a store without a seat, and count no outage that was none

Cause: TestReplicaLeavesDuringCut failed beside load in two ways. A cut that outlasts the leases leaves no daemon with a seat; then calls were up to 12 s apart, and a watch that the store had swallowed was waited for up to 26 s. And an own call that failed while the hub had the store counted as an outage, although the contact was never lost: followers were told of it, took their hub's contact as proof against it, and were told again, lost and back each 0.25 s for 5 s, in which entries were kept.

Change: a daemon that held a seat keeps the pace of a hub for a minute; a watch is given up once the store is lost, and the next call is a short one; an own failure counts as an outage only if the store is lost by it, and a loss is told only if the outage stands.

Two cases of TestContactAfterOutage.

--- a/internal/mangohub/contact.go
+++ b/internal/mangohub/contact.go
@@ -56,16 +56,16 @@
 	m.reading = reading
 }
 
-// SetOwnContact records whether a call of this daemon, which began at a time, reached the store. If it did not, the store was away then;
-// it may have been back any time after that.
+// SetOwnContact records whether a call of this daemon, which began at a time, reached the store. If it did not, and the hub does not
+// reach it either, the store was away then; it may have been back any time after that.
 func (m *Mirror) SetOwnContact(reached bool, begun time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.own, m.ownAt = contactOf(reached), m.now()
-	if !reached && begun.After(m.outage.At) {
+	m.updateContact()
+	if !reached && m.lost && begun.After(m.outage.At) {
 		m.outage = mangostate.Outage{At: begun}
 	}
-	m.updateContact()
 }
 
 // ownContact returns what the last own call says of the store, or contactUnknown after a failure that is out of date. A success
@@ -97,14 +97,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hub, m.hubPath = contactOf(h.Reached), h.Path
-	newOutage := h.Outage.At.Sub(m.outage.At) > sameOutage
+	known := m.outage.At
 	if h.Outage.At.Sub(m.outage.At) > outageResolution {
 		m.outage = h.Outage
 	}
 	if h.Reached {
 		m.takeHubWord(h)
 	}
-	if newOutage && h.Reached && !m.lost {
+	if m.outage.At.Sub(known) > sameOutage && h.Reached && !m.lost {
 		m.lossDue = true
 		m.signal()
 	}
--- a/internal/mangohub/contact_test.go
+++ b/internal/mangohub/contact_test.go
@@ -140,6 +140,12 @@
 		{"the hub is left soon after the end of a cut", []contactStep{
 			{0, hubSays(remote)}, {1 * s, endHub}, {2 * s, ownCall(false)}, {3 * s, hubSays(remoteAll)}, {3500 * ms, endHub}, {3500 * ms, reading(true)},
 		}, 1, failedAt, false, true},
+		{"a hub of the data centre that had contact all the while tells of an outage again and again", []contactStep{
+			{0, hubSays(local)},
+			{5 * s, hubSays(HubContact{Reached: true, Local: true, Since: f.start, Outage: mangostate.Outage{At: f.start.Add(4 * s)}})},
+			{6 * s, hubSays(HubContact{Reached: true, Local: true, Since: f.start, Outage: mangostate.Outage{At: f.start.Add(4 * s)}})},
+		}, 0, -1, false, false},
+		{"an own call fails, and the hub has the store", []contactStep{{0, hubSays(remoteAll)}, {2 * s, ownCall(false)}, {3 * s, hubSays(remoteAll)}}, 0, -1, false, false},
 		{"a success stands until a call fails", []contactStep{
 			{0, reading(true)},
 			{0, ownCall(true)},
--- a/internal/mangohub/duty.go
+++ b/internal/mangohub/duty.go
@@ -11,8 +11,9 @@
 )
 
 // cancelWhenUnneeded calls cancel when the daemon no longer has to read the store, or when the call is a watch and a restart of it was
-// requested, and returns true. It returns false when done is closed.
-func (r *Reader) cancelWhenUnneeded(done <-chan struct{}, cancel context.CancelFunc, snapshot bool) bool {
+// requested, and returns true. It returns false when done is closed. It also cancels a long watch once the store is lost: the store may have
+// swallowed it, so that it would not notice the return.
+func (r *Reader) cancelWhenUnneeded(done <-chan struct{}, cancel context.CancelFunc, snapshot, long bool) bool {
 	select {
 	case <-r.mirror.restart:
 		// Drops a restart that was requested before this call.
@@ -32,7 +33,7 @@
 				return true
 			}
 		case <-tick.C:
-			if !r.hasDuty(time.Now()) {
+			if !r.hasDuty(time.Now()) || (long && !snapshot && !r.mirror.Contact()) {
 				cancel()
 				return true
 			}
@@ -74,6 +75,9 @@
 		r.grace, r.unconfirmed = hubGrace+rand.N(hubGraceJitter), unconfirmedGrace+rand.N(unconfirmedJitter)
 	}
 	_, seated := r.seats.Held()
+	if seated {
+		r.seatedAt = now
+	}
 	return readsStore(duty{
 		loaded: r.mirror.Loaded(), seated: seated, primary: r.upstream.IsPrimary(), link: link, grace: r.grace, unconfirmed: r.unconfirmed,
 		deaf: now.Sub(r.deafAt) < deafTime,
--- a/internal/mangohub/reader.go
+++ b/internal/mangohub/reader.go
@@ -28,12 +28,15 @@
 	minRetryPause         = 100 * time.Millisecond
 	maxRetryPause         = 800 * time.Millisecond
 	maxUnseatedRetryPause = 8 * time.Second
-	// probeWait is the time for which the store may hold the first watch after a failed call, and probeTimeout bounds that call, so that a
+	// probeWait is the time for which the store may hold a watch that begins while it is away, and probeTimeout bounds that call, so that a
 	// hub finds out soon that the store is back.
 	probeWait    = time.Millisecond
 	probeTimeout = 600 * time.Millisecond
 	// slowProbeEach is the number of calls after which one is not bounded by probeTimeout, as the store may be that slow.
 	slowProbeEach = 8
+	// formerSeatTime is the time after the loss of a seat for which a daemon calls a store that is away as often as a hub. In an outage that
+	// outlasts the leases nobody holds a seat, and somebody has to notice the return.
+	formerSeatTime = time.Minute
 	// outageMemory is the time after a failed call from which the next one belongs to another outage. It is longer than any pause.
 	outageMemory = 2 * maxUnseatedRetryPause
 	// hubGrace is the time without a hub after which a daemon reads the store itself, plus a random time up to
@@ -80,6 +83,8 @@
 	// retryPause is the pause after the next failed call, and failedAt the time of the last one.
 	retryPause time.Duration
 	failedAt   time.Time
+	// seatedAt is when this daemon was last seen to hold a seat.
+	seatedAt time.Time
 	// failedCalls is the number of calls that have failed since the last one that did not.
 	failedCalls int
 	// grace and unconfirmed are the times to wait, drawn anew whenever the link changes.
@@ -184,7 +189,7 @@
 	r.failedAt = now
 	_, seated := r.seats.Held()
 	pause := r.retryPause/2 + rand.N(r.retryPause)
-	if seated {
+	if r.callsAsHub(now) {
 		pause = min(pause, max(mangostate.AwayCallInterval-now.Sub(begun), minRetryPause/2))
 	}
 	timer := time.NewTimer(pause)
@@ -236,7 +241,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := maxWatchWait
-	if r.failedCalls > 0 && !snapshot {
+	if (r.failedCalls > 0 || !r.mirror.Contact()) && !snapshot {
 		wait = probeWait
 		if r.failedCalls%slowProbeEach != 0 {
 			var end context.CancelFunc
@@ -246,7 +251,7 @@
 	}
 	done, cancelled := make(chan struct{}), make(chan bool, 1)
 	go func() {
-		cancelled <- r.cancelWhenUnneeded(done, cancel, snapshot)
+		cancelled <- r.cancelWhenUnneeded(done, cancel, snapshot, wait == maxWatchWait)
 	}()
 	if snapshot {
 		items, revision, err = r.store.Snapshot(ctx, fresh)
@@ -272,12 +277,20 @@
 }
 
 func (r *Reader) maxRetryPause() time.Duration {
-	if _, seated := r.seats.Held(); seated {
+	if r.callsAsHub(time.Now()) {
 		return maxRetryPause
 	}
 	return maxUnseatedRetryPause
 }
 
+// callsAsHub reports whether this daemon calls a store that is away as often as a hub: it holds a seat, or did lately.
+func (r *Reader) callsAsHub(now time.Time) bool {
+	if _, seated := r.seats.Held(); seated {
+		return true
+	}
+	return !r.seatedAt.IsZero() && now.Sub(r.seatedAt) < formerSeatTime
+}
+
 // needsSnapshot reports whether no watch can lead on from the revision of the mirror.
 func needsSnapshot(err error) bool {
 	return isKind(err, mangostate.KindCompacted) || isKind(err, mangostate.KindRestored)
