--- a/internal/mangoverdict/keeper_test.go
+++ b/internal/mangoverdict/keeper_test.go
@@ -22,7 +22,7 @@
 	items   map[string]mangostore.Item
 	version uint64
 	writes  int
-	// away makes all calls fail, and deaf the calls of some daemons.
+	// away makes all calls fail.
 	away    bool
 	readers []*testDaemon
 }
