--- a/pkg/mangoclient/client_test.go
+++ b/pkg/mangoclient/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,12 +16,16 @@
 	"mangopath.org/mangopath/pkg/mangomessage"
 )
 
-// startServer starts a server and returns its URL. handle answers the requests, of which n is the number from 1.
+// startServer starts a server and returns its URL. handle answers the requests, one at a time, of which n is the number from 1.
 func startServer(t *testing.T, handle func(n int, w http.ResponseWriter, body string)) string {
 	t.Helper()
+	var mu sync.Mutex
 	n := 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		// An aborted connection does not order its handler before the next one.
+		mu.Lock()
+		defer mu.Unlock()
 		n++
 		handle(n, w, string(body))
 	}))
